Name the package of the key-value interface by what it owns

Cause: the folder platform/ is to hold the wire format of the users' platform, and the product's own interface to a key-value store stood there. Change: the package moves to brasstray.store; nothing else changes. Ruled out: a top-level folder platform/, which would shadow the standard module.

--- a/src/brasstray/daemon/daemon.py
+++ b/src/brasstray/daemon/daemon.py
@@ -18,7 +18,7 @@
 from brasstray.minion.http import HttpMinions
 from brasstray.peer.websocket_peers import WebSocketPeers
 from brasstray.peer.websocket_server import WebSocketServer
-from brasstray.platform.http_platform import HttpPlatform
+from brasstray.store.http_platform import HttpPlatform
 
 if TYPE_CHECKING:
     import socket
--- a/src/brasstray/dispatch/minion_load.py
+++ b/src/brasstray/dispatch/minion_load.py
@@ -7,11 +7,11 @@
 from typing import TYPE_CHECKING
 
 from brasstray.dispatch.minion_health import MinionHealth
-from brasstray.platform.host_kind import HostState
+from brasstray.store.host_kind import HostState
 
 if TYPE_CHECKING:
     from brasstray.job.ids import ServiceName
-    from brasstray.platform.listed_host import ListedHost
+    from brasstray.store.listed_host import ListedHost
 
 
 @dataclass
--- a/src/brasstray/dispatch/minion_pool.py
+++ b/src/brasstray/dispatch/minion_pool.py
@@ -30,7 +30,7 @@
     from brasstray.dispatch.timing import DispatchTiming
     from brasstray.job.ids import ServiceName
     from brasstray.job.job_id import JobId
-    from brasstray.platform.listed_host import ListedHost
+    from brasstray.store.listed_host import ListedHost
 
 _CHOICES = 2
 
--- a/src/brasstray/entry/heartbeats.py
+++ b/src/brasstray/entry/heartbeats.py
@@ -10,8 +10,8 @@
 from brasstray.job.incarnation import data_centre_of
 from brasstray.peer.errors import PeerError
 from brasstray.peer.messages import Heartbeat
-from brasstray.platform.errors import PlatformError
-from brasstray.platform.host_kind import HostKind
+from brasstray.store.errors import PlatformError
+from brasstray.store.host_kind import HostKind
 
 if TYPE_CHECKING:
     from brasstray.dispatch.minion_pool import MinionPool
@@ -22,7 +22,7 @@
     from brasstray.entry.surroundings import Surroundings
     from brasstray.entry.table_cache import TableCache
     from brasstray.job.ids import HostName, IncarnationId
-    from brasstray.platform.listed_host import ListedHost
+    from brasstray.store.listed_host import ListedHost
 
 
 class Heartbeats:
--- a/src/brasstray/entry/membership.py
+++ b/src/brasstray/entry/membership.py
@@ -14,7 +14,7 @@
     from brasstray.entry.config import EntryConfig
     from brasstray.job.ids import DataCentreName, HostName, IncarnationId
     from brasstray.peer.messages import Heartbeat
-    from brasstray.platform.listed_host import ListedHost
+    from brasstray.store.listed_host import ListedHost
 
 
 UNCROWDED_PEERS = 4
--- a/src/brasstray/entry/surroundings.py
+++ b/src/brasstray/entry/surroundings.py
@@ -12,8 +12,8 @@
     from brasstray.metrics.metrics import Metrics
     from brasstray.minion.minions import Minions
     from brasstray.peer.peers import Peers
-    from brasstray.platform.host_list import HostList
-    from brasstray.platform.store import Store
+    from brasstray.store.host_list import HostList
+    from brasstray.store.store import Store
 
 
 @dataclass(frozen=True)
--- a/src/brasstray/journal/journal.py
+++ b/src/brasstray/journal/journal.py
@@ -8,12 +8,12 @@
 
 from brasstray.journal.errors import DeposedError, JournalUnavailableError
 from brasstray.journal.segment import Segment
-from brasstray.platform.errors import StoreConflictError, StoreUnavailableError
-from brasstray.platform.store import ABSENT
+from brasstray.store.errors import StoreConflictError, StoreUnavailableError
+from brasstray.store.store import ABSENT
 
 if TYPE_CHECKING:
     from brasstray.job.ids import DataCentreName
-    from brasstray.platform.store import Store
+    from brasstray.store.store import Store
 
 _INDEX_DIGITS = 12
 
--- a/src/brasstray/minion/http.py
+++ b/src/brasstray/minion/http.py
@@ -17,7 +17,7 @@
 
     from brasstray.job.request import TaskRequest
     from brasstray.minion.task_id import TaskId
-    from brasstray.platform.listed_host import ListedHost
+    from brasstray.store.listed_host import ListedHost
 
 CONNECT_PATIENCE_SECONDS = 1.0
 NOT_RUN_HEADER = b"not-run"
--- a/src/brasstray/minion/minions.py
+++ b/src/brasstray/minion/minions.py
@@ -11,7 +11,7 @@
 
     from brasstray.job.request import TaskRequest
     from brasstray.minion.task_id import TaskId
-    from brasstray.platform.listed_host import ListedHost
+    from brasstray.store.listed_host import ListedHost
 
 
 class Minions(Protocol):
--- a/src/brasstray/peer/websocket_peers.py
+++ b/src/brasstray/peer/websocket_peers.py
@@ -16,7 +16,7 @@
     from brasstray.job.ids import HostName, IncarnationId
     from brasstray.metrics.metrics import Metrics
     from brasstray.peer.messages import Message
-    from brasstray.platform.listed_host import ListedHost
+    from brasstray.store.listed_host import ListedHost
 
 
 class WebSocketPeers:
--- a/src/brasstray/platform/host_list.py
+++ b/src/brasstray/store/host_list.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from brasstray.platform.listed_host import ListedHost
+    from brasstray.store.listed_host import ListedHost
 
 
 class HostList(Protocol):
--- a/src/brasstray/platform/http_platform.py
+++ b/src/brasstray/store/http_platform.py
@@ -10,9 +10,9 @@
 import httpcore
 from pydantic import TypeAdapter, ValidationError
 
-from brasstray.platform.entry import StoreEntry
-from brasstray.platform.errors import StoreConflictError, StoreUnavailableError
-from brasstray.platform.listed_host import ListedHost
+from brasstray.store.entry import StoreEntry
+from brasstray.store.errors import StoreConflictError, StoreUnavailableError
+from brasstray.store.listed_host import ListedHost
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
--- a/src/brasstray/platform/listed_host.py
+++ b/src/brasstray/store/listed_host.py
@@ -5,7 +5,7 @@
 from pydantic import BaseModel, ConfigDict
 
 from brasstray.job.ids import DataCentreName, ServiceName
-from brasstray.platform.host_kind import HostKind, HostState
+from brasstray.store.host_kind import HostKind, HostState
 
 
 class ListedHost(BaseModel):
--- a/src/brasstray/platform/store.py
+++ b/src/brasstray/store/store.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from brasstray.platform.entry import StoreEntry
+    from brasstray.store.entry import StoreEntry
 
 ABSENT = 0
 
--- a/src/brasstray/table/table_store.py
+++ b/src/brasstray/table/table_store.py
@@ -4,13 +4,13 @@
 
 from typing import TYPE_CHECKING
 
-from brasstray.platform.errors import StoreConflictError, StoreUnavailableError
-from brasstray.platform.store import ABSENT
+from brasstray.store.errors import StoreConflictError, StoreUnavailableError
+from brasstray.store.store import ABSENT
 from brasstray.table.errors import TableConflictError, TableUnavailableError
 from brasstray.table.table import Table
 
 if TYPE_CHECKING:
-    from brasstray.platform.store import Store
+    from brasstray.store.store import Store
 
 _PREFIX = "table/"
 _DIGITS = 12
--- a/src/brasstray_standins/__main__.py
+++ b/src/brasstray_standins/__main__.py
@@ -11,8 +11,8 @@
 from brasstray.clock.loop import LoopClock
 from brasstray.http.server import HttpServer, listen
 from brasstray.job.ids import DataCentreName, ServiceName
-from brasstray.platform.host_kind import HostKind
-from brasstray.platform.listed_host import ListedHost
+from brasstray.store.host_kind import HostKind
+from brasstray.store.listed_host import ListedHost
 from brasstray_standins.memory_platform import MemoryPlatform
 from brasstray_standins.minion import StandInMinion
 from brasstray_standins.minion_app import MinionApp
--- a/src/brasstray_standins/loopback_system.py
+++ b/src/brasstray_standins/loopback_system.py
@@ -18,9 +18,9 @@
 from brasstray.job.ids import DataCentreName, HostName, ServiceName
 from brasstray.job.incarnation import new_incarnation
 from brasstray.metrics.metrics import ReadableMetrics
-from brasstray.platform.host_kind import HostKind
-from brasstray.platform.http_platform import HttpPlatform
-from brasstray.platform.listed_host import ListedHost
+from brasstray.store.host_kind import HostKind
+from brasstray.store.http_platform import HttpPlatform
+from brasstray.store.listed_host import ListedHost
 from brasstray_standins.balancer_app import BalancerApp
 from brasstray_standins.memory_platform import MemoryPlatform
 from brasstray_standins.minion import StandInMinion
--- a/src/brasstray_standins/memory_minions.py
+++ b/src/brasstray_standins/memory_minions.py
@@ -16,7 +16,7 @@
     from brasstray.clock.clock import Clock
     from brasstray.job.request import TaskRequest
     from brasstray.minion.task_id import TaskId
-    from brasstray.platform.listed_host import ListedHost
+    from brasstray.store.listed_host import ListedHost
     from brasstray_standins.minion import StandInMinion
 
 _NOT_RUN = {
--- a/src/brasstray_standins/memory_platform.py
+++ b/src/brasstray_standins/memory_platform.py
@@ -7,16 +7,16 @@
 
 import anyio
 
-from brasstray.platform.entry import StoreEntry
-from brasstray.platform.errors import StoreConflictError, StoreUnavailableError
-from brasstray.platform.store import ABSENT
+from brasstray.store.entry import StoreEntry
+from brasstray.store.errors import StoreConflictError, StoreUnavailableError
+from brasstray.store.store import ABSENT
 from brasstray_standins.switches import PlatformSwitches
 
 if TYPE_CHECKING:
     from datetime import timedelta
 
     from brasstray.clock.clock import Clock
-    from brasstray.platform.listed_host import ListedHost
+    from brasstray.store.listed_host import ListedHost
 
 PAGE_ENTRIES = 500
 MAX_VALUE_BYTES = 1_000_000
--- a/src/brasstray_standins/memory_system.py
+++ b/src/brasstray_standins/memory_system.py
@@ -21,9 +21,9 @@
 from brasstray.job.key import OwnKey
 from brasstray.job.request import JobRequest
 from brasstray.metrics.metrics import ReadableMetrics
-from brasstray.platform.errors import StoreUnavailableError
-from brasstray.platform.host_kind import HostKind
-from brasstray.platform.listed_host import ListedHost
+from brasstray.store.errors import StoreUnavailableError
+from brasstray.store.host_kind import HostKind
+from brasstray.store.listed_host import ListedHost
 from brasstray_standins.gate import Gate, Gated, GatedClock
 from brasstray_standins.memory_minions import MemoryMinions
 from brasstray_standins.memory_network import MemoryNetwork
--- a/src/brasstray_standins/platform_app.py
+++ b/src/brasstray_standins/platform_app.py
@@ -16,7 +16,7 @@
     read_body,
 )
 from brasstray.job.request import digest_of
-from brasstray.platform.errors import StoreConflictError, StoreUnavailableError
+from brasstray.store.errors import StoreConflictError, StoreUnavailableError
 
 if TYPE_CHECKING:
     from brasstray.http.exchange import Receive, Scope, Send
--- a/tests/dispatch/test_minion_pool.py
+++ b/tests/dispatch/test_minion_pool.py
@@ -23,8 +23,8 @@
 from brasstray.job.ids import CallerName, DataCentreName, KeyText
 from brasstray.job.job_id import JobId
 from brasstray.minion.errors import RetryReason
-from brasstray.platform.host_kind import HostKind, HostState
-from brasstray.platform.listed_host import ListedHost
+from brasstray.store.host_kind import HostKind, HostState
+from brasstray.store.listed_host import ListedHost
 from brasstray_standins.memory_system import LEAVE, RERUN
 
 TIMING = DispatchTiming()
--- a/tests/failures/conftest.py
+++ b/tests/failures/conftest.py
@@ -9,7 +9,7 @@
 from pytest_bdd import given, parsers, then, when
 
 from brasstray.job.outcome import Outcome
-from brasstray.platform.host_kind import HostState
+from brasstray.store.host_kind import HostState
 from brasstray_standins.memory_system import RERUN, SystemSize, leave_job
 from brasstray_standins.minion import MinionMode
 from tests.failures.play import Play
--- a/tests/minion/test_http_minions.py
+++ b/tests/minion/test_http_minions.py
@@ -19,8 +19,8 @@
 )
 from brasstray.minion.http import HttpMinions
 from brasstray.minion.task_id import TaskId
-from brasstray.platform.host_kind import HostKind
-from brasstray.platform.listed_host import ListedHost
+from brasstray.store.host_kind import HostKind
+from brasstray.store.listed_host import ListedHost
 
 TASK = TaskId(JobId(caller=CallerName("c"), key=KeyText("k")), 0)
 DONE = b'HTTP/1.1 200 OK\r\ncontent-length: 13\r\n\r\n{"result": 7}'
