--- /dev/null
+++ b/src/brasstray/batch/outcome.py
@@ -0,0 +1,48 @@
+"""List how a job can end for its caller."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from enum import Enum
+
+
+class BatchOutcome(Enum):
+    """Tell how a job ended.
+
+    NOT_RUN means that none of its tasks was sent to a minion. UNKNOWN means that some
+    may have run, or may be running still.
+    """
+
+    SUCCEEDED = "succeeded"
+    FAILED = "failed"
+    CANCELLED = "cancelled"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class GiveUpReason(Enum):
+    """Tell why a job was refused or given up, for counters and logs."""
+
+    NO_CONFIGURATION = "no_configuration"
+    NO_POOL = "no_pool"
+    TOO_LATE = "too_late"
+    OVERLOADED = "overloaded"
+    POOL_LOST = "pool_lost"
+    TASK_FAILED = "task_failed"
+    CALLER_GONE = "caller_gone"
+    CANCELLED = "cancelled"
+    UNSUPPORTED = "unsupported"
+    STOPPING = "stopping"
+
+
+@dataclass(frozen=True)
+class BatchResult:
+    """Hold an outcome, its reason, and when to come back if it has not run."""
+
+    outcome: BatchOutcome
+    reason: GiveUpReason | None = None
+    retry_after: timedelta | None = None
+
+
+__all__ = ["BatchOutcome", "BatchResult", "GiveUpReason"]
--- /dev/null
+++ b/src/brasstray/batch/resources.py
@@ -0,0 +1,42 @@
+"""Count processors, memory and accelerators."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, slots=True)
+class Resources:
+    """Hold what a task asks for, or what a minion has.
+
+    Processors are counted in thousandths of a core.
+    """
+
+    cpu_millis: int = 0
+    memory_mb: int = 0
+    gpus: int = 0
+
+    def __add__(self, other: Resources) -> Resources:
+        return Resources(
+            self.cpu_millis + other.cpu_millis,
+            self.memory_mb + other.memory_mb,
+            self.gpus + other.gpus,
+        )
+
+    def __sub__(self, other: Resources) -> Resources:
+        return Resources(
+            self.cpu_millis - other.cpu_millis,
+            self.memory_mb - other.memory_mb,
+            self.gpus - other.gpus,
+        )
+
+    def fits(self, room: Resources) -> bool:
+        """Tell whether this much is to be had in `room`."""
+        return (
+            self.cpu_millis <= room.cpu_millis
+            and self.memory_mb <= room.memory_mb
+            and self.gpus <= room.gpus
+        )
+
+
+__all__ = ["Resources"]
--- /dev/null
+++ b/src/brasstray/coordinator/__init__.py
@@ -0,0 +1,1 @@
+"""See jobs through from their arrival to their answer."""
--- /dev/null
+++ b/src/brasstray/coordinator/active_batch.py
@@ -0,0 +1,49 @@
+"""Keep the book of one job that is at work."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import anyio
+
+if TYPE_CHECKING:
+    from datetime import timedelta
+
+    from brasstray.batch.batch import Batch
+    from brasstray.batch.ids import PoolId
+    from brasstray.batch.outcome import BatchResult
+    from brasstray.batch.queue import Queue
+
+
+@dataclass(eq=False)
+class ActiveBatch:
+    """Hold where each task that has not ended is, and the result once there is one.
+
+    `placed` maps step and index to the pool that was last asked to run the task.
+    `waiters` counts the callers that wait; the same job may have been sent twice.
+    """
+
+    batch: Batch
+    queue: Queue
+    arrived: timedelta
+    due: timedelta
+    limit: timedelta
+    placed: dict[tuple[int, int], PoolId] = field(default_factory=dict)
+    steps_left: dict[int, int] = field(default_factory=dict)
+    steps_sent: set[int] = field(default_factory=set)
+    any_done: bool = False
+    waiters: int = 0
+    ended: anyio.Event = field(default_factory=anyio.Event)
+    result: BatchResult | None = None
+
+    def at(self, pool: PoolId) -> dict[int, list[int]]:
+        """Return the indices of the tasks at `pool`, by step."""
+        found: dict[int, list[int]] = {}
+        for (step, index), where in self.placed.items():
+            if where == pool:
+                found.setdefault(step, []).append(index)
+        return found
+
+
+__all__ = ["ActiveBatch"]
--- /dev/null
+++ b/src/brasstray/coordinator/coordinator.py
@@ -0,0 +1,299 @@
+"""See each job through: ask pools to run its tasks and gather how they end."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import anyio
+
+from brasstray.batch.outcome import BatchOutcome, BatchResult, GiveUpReason
+from brasstray.coordinator.active_batch import ActiveBatch
+from brasstray.peer.message.run_tasks import RunTasks
+from brasstray.peer.message.stop_tasks import StopTasks
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from brasstray.batch.batch import Batch
+    from brasstray.batch.ids import BatchId, PoolId
+    from brasstray.batch.queue import Queue
+    from brasstray.clock.clock import Clock
+    from brasstray.coordinator.events import CoordinatorEvents
+    from brasstray.coordinator.pools import Pools
+    from brasstray.coordinator.timing import CoordinatorTiming
+    from brasstray.peer.message.tasks_ended import TasksEnded
+    from brasstray.peer.message.tasks_returned import TasksReturned
+
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+class Coordinator:
+    """Hold the jobs that callers of this host wait for."""
+
+    def __init__(
+        self,
+        home: PoolId,
+        pools: Pools,
+        clock: Clock,
+        timing: CoordinatorTiming,
+        events: CoordinatorEvents,
+    ) -> None:
+        self._home = home
+        self._pools = pools
+        self._clock = clock
+        self._timing = timing
+        self._events = events
+        self._active: dict[BatchId, ActiveBatch] = {}
+        self._lost_since: dict[PoolId, timedelta] = {}
+
+    @property
+    def active(self) -> int:
+        """Return how many jobs are at work."""
+        return len(self._active)
+
+    def pending(self, queue: str) -> int:
+        """Return how many jobs of `queue` have no task done yet."""
+        return sum(
+            active.queue.name == queue and not active.any_done
+            for active in self._active.values()
+        )
+
+    def knows(self, batch: BatchId) -> bool:
+        """Tell whether the job is at work here."""
+        return batch in self._active
+
+    async def run(
+        self, batch: Batch, queue: Queue, patience: timedelta
+    ) -> BatchResult:
+        """Return the result of `batch`, whose caller waits for `patience`.
+
+        If the caller's wait is cancelled and nobody else waits, its runs are stopped.
+        """
+        active = self._active.get(batch.id)
+        if active is None:
+            active = self._begin(batch, queue, patience)
+            await self._send_first(active)
+        active.waiters += 1
+        left = active.limit - self._clock.monotonic()
+        try:
+            with anyio.move_on_after(max(0.0, left.total_seconds())):
+                await active.ended.wait()
+            if active.result is None:
+                result = BatchResult(BatchOutcome.UNKNOWN, GiveUpReason.TOO_LATE)
+                self._end(active, result)
+        finally:
+            active.waiters -= 1
+            if active.result is None and active.waiters == 0:
+                gone = BatchResult(BatchOutcome.CANCELLED, GiveUpReason.CALLER_GONE)
+                self._end(active, gone)
+        assert active.result is not None
+        return active.result
+
+    def _begin(self, batch: Batch, queue: Queue, patience: timedelta) -> ActiveBatch:
+        now = self._clock.monotonic()
+        objective = chain_of(batch) * queue.stretch + queue.slack
+        active = ActiveBatch(
+            batch,
+            queue,
+            now,
+            now + objective,
+            now + patience,
+            steps_left={n: step.count for n, step in enumerate(batch.steps)},
+        )
+        self._active[batch.id] = active
+        return active
+
+    async def _send_first(self, active: ActiveBatch) -> None:
+        pool = self._choose()
+        deadline = self._clock.monotonic() + self._timing.pool_patience
+        while pool is None and self._clock.monotonic() < deadline:
+            await self._clock.sleep(self._timing.tick / 5)
+            pool = self._choose()
+        if pool is None:
+            refusal = BatchResult(
+                BatchOutcome.NOT_RUN, GiveUpReason.NO_POOL, self._timing.retry_after
+            )
+            self._end(active, refusal)
+            return
+        self._send_ready_steps(active, pool)
+
+    def _choose(self) -> PoolId | None:
+        reachable = self._pools.reachable()
+        if self._home in reachable:
+            return self._home
+        return min(
+            reachable,
+            key=lambda pool: (reachable[pool].wait_ms, -reachable[pool].places),
+            default=None,
+        )
+
+    def _send_ready_steps(self, active: ActiveBatch, pool: PoolId) -> None:
+        for number, step in enumerate(active.batch.steps):
+            if number in active.steps_sent or any(
+                active.steps_left.get(before) for before in step.after
+            ):
+                continue
+            active.steps_sent.add(number)
+            self._send(active, number, range(step.count), pool)
+
+    def _send(
+        self,
+        active: ActiveBatch,
+        number: int,
+        indices: Iterable[int],
+        pool: PoolId,
+        *,
+        forwarded: bool = False,
+        claimed: bool = False,
+    ) -> None:
+        step, queue = active.batch.steps[number], active.queue
+        now = self._clock.monotonic()
+        chosen = tuple(indices)
+        for index in chosen:
+            active.placed[number, index] = pool
+        message = RunTasks(
+            batch=active.batch.id,
+            step=number,
+            indices=chosen,
+            width=step.count,
+            queue=queue.name,
+            service=queue.service,
+            spec=active.batch.spec,
+            cpu_millis=step.needs.cpu_millis,
+            memory_mb=step.needs.memory_mb,
+            gpus=step.needs.gpus,
+            estimate_ms=max(1, step.estimate // _MILLISECOND),
+            due_ms=(active.due - now) // _MILLISECOND,
+            limit_ms=(active.limit - now) // _MILLISECOND,
+            priority=queue.priority,
+            attempts=queue.attempts,
+            rack=step.rack,
+            label=step.label,
+            max_per_minion=step.max_per_minion,
+            forwarded=forwarded,
+            claimed=claimed,
+        )
+        self._pools.tell(pool, message)
+
+    # What owners tell
+
+    def take_ended(self, pool: PoolId, message: TasksEnded) -> None:
+        """Take the ends of tasks."""
+        active = self._active.get(message.batch)
+        if active is None:
+            return
+        if message.failed:
+            failed = BatchResult(BatchOutcome.FAILED, GiveUpReason.TASK_FAILED)
+            self._end(active, failed)
+            return
+        for index in message.done:
+            if active.placed.pop((message.step, index), None) is not None:
+                active.any_done = True
+                active.steps_left[message.step] -= 1
+        if not any(active.steps_left.values()):
+            self._end(active, BatchResult(BatchOutcome.SUCCEEDED))
+        elif not active.steps_left[message.step]:
+            self._send_ready_steps(active, self._choose() or pool)
+
+    def take_returned(self, pool: PoolId, message: TasksReturned) -> None:
+        """Take tasks back from `pool`, which has not started them."""
+        active = self._active.get(message.batch)
+        if active is None:
+            return
+        indices = [
+            index
+            for index in message.indices
+            if active.placed.get((message.step, index)) == pool
+        ]
+        if not indices:
+            return
+        if message.in_doubt:
+            self._end(
+                active, BatchResult(BatchOutcome.UNKNOWN, GiveUpReason.POOL_LOST)
+            )
+        elif message.pool is None:
+            self._refuse(active, len(indices), message.wait_ms)
+        else:
+            reachable = message.pool in self._pools.reachable()
+            target = message.pool if reachable else pool
+            self._events.moved(active, len(indices), target)
+            self._send(active, message.step, indices, target, forwarded=True)
+
+    def _refuse(self, active: ActiveBatch, returned: int, wait_ms: int) -> None:
+        whole = len(active.placed) == returned and not active.any_done
+        outcome = BatchOutcome.NOT_RUN if whole else BatchOutcome.UNKNOWN
+        wait = max(self._timing.retry_after, wait_ms * _MILLISECOND)
+        self._end(active, BatchResult(outcome, GiveUpReason.OVERLOADED, wait))
+
+    def claim(self, pool: PoolId) -> None:
+        """Ask again for all tasks at `pool`: its owner or the link to it is new."""
+        self._lost_since.pop(pool, None)
+        for active in list(self._active.values()):
+            for number, indices in active.at(pool).items():
+                self._events.claimed(active, len(indices), pool)
+                self._send(active, number, indices, pool, claimed=True)
+
+    def cancel(self, batch: BatchId) -> bool:
+        """End a job for its caller; return whether it was at work here."""
+        active = self._active.get(batch)
+        if active is None:
+            return False
+        cancelled = BatchResult(BatchOutcome.CANCELLED, GiveUpReason.CANCELLED)
+        self._end(active, cancelled)
+        return True
+
+    async def watch(self) -> None:
+        """Give up jobs whose tasks are at pools that stay out of reach."""
+        while True:
+            await self._clock.sleep(self._timing.tick)
+            self.give_up_lost(self._clock.monotonic())
+
+    def give_up_lost(self, now: timedelta) -> None:
+        """Give up jobs with tasks at pools out of reach for too long.
+
+        The tasks may go on there for a while, so they are not run elsewhere and the
+        job is not said not to have run. Whoever sends it again does so later than
+        the last of them can be at work.
+        """
+        reachable = self._pools.reachable()
+        for active in list(self._active.values()):
+            for pool in set(active.placed.values()):
+                if pool in reachable:
+                    self._lost_since.pop(pool, None)
+                    continue
+                since = self._lost_since.setdefault(pool, now)
+                if now - since >= self._timing.lost_patience:
+                    lost = BatchResult(BatchOutcome.UNKNOWN, GiveUpReason.POOL_LOST)
+                    self._end(active, lost)
+                    break
+
+    def end_all(self) -> None:
+        """Give up every job, as after standing still for longer than owners wait."""
+        for active in list(self._active.values()):
+            self._end(
+                active, BatchResult(BatchOutcome.UNKNOWN, GiveUpReason.STOPPING)
+            )
+
+    def _end(self, active: ActiveBatch, result: BatchResult) -> None:
+        if active.result is not None:
+            return
+        active.result = result
+        self._active.pop(active.batch.id, None)
+        for pool in sorted(set(active.placed.values())):
+            self._pools.tell(pool, StopTasks(batch=active.batch.id))
+        took = self._clock.monotonic() - active.arrived
+        self._events.answered(active, result, took)
+        active.ended.set()
+
+
+def chain_of(batch: Batch) -> timedelta:
+    """Return the longest chain of estimates through the steps of `batch`."""
+    chains: list[timedelta] = []
+    for step in batch.steps:
+        before = max((chains[n] for n in step.after), default=timedelta(0))
+        chains.append(before + step.estimate)
+    return max(chains, default=timedelta(0))
+
+
+__all__ = ["Coordinator", "chain_of"]
--- /dev/null
+++ b/src/brasstray/coordinator/pools.py
@@ -0,0 +1,23 @@
+"""Define how a coordinator reaches the owners of pools."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from brasstray.batch.ids import PoolId
+    from brasstray.peer.message.peer_message import PeerMessage
+    from brasstray.pool.pool_load import PoolLoad
+
+
+class Pools(Protocol):
+    """Reach the owners of pools."""
+
+    def reachable(self) -> dict[PoolId, PoolLoad]:
+        """Return the pools whose owners are in reach, with their load."""
+
+    def tell(self, pool: PoolId, message: PeerMessage) -> None:
+        """Send `message` to the owner of `pool`; drop it if that is out of reach."""
+
+
+__all__ = ["Pools"]
--- /dev/null
+++ b/src/brasstray/coordinator/timing.py
@@ -0,0 +1,24 @@
+"""Hold the intervals that a coordinator works by."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+
+@dataclass(frozen=True)
+class CoordinatorTiming:
+    """Set how long a coordinator waits; docs/INVARIANTS.md has the inequality.
+
+    `pool_patience` is how long a new job waits for any owner, about a takeover.
+    `lost_patience` is how long tasks at a pool without an owner in reach are waited
+    for. `retry_after` is told when nothing better is known.
+    """
+
+    pool_patience: timedelta = timedelta(milliseconds=300)
+    lost_patience: timedelta = timedelta(milliseconds=900)
+    retry_after: timedelta = timedelta(seconds=1)
+    tick: timedelta = timedelta(milliseconds=50)
+
+
+__all__ = ["CoordinatorTiming"]
--- /dev/null
+++ b/src/brasstray/daemon/pool_daemon.py
@@ -0,0 +1,125 @@
+"""Run one host of the platform with real sockets."""
+
+from __future__ import annotations
+
+import signal
+import time
+from datetime import timedelta
+from random import SystemRandom
+from typing import TYPE_CHECKING
+
+import anyio
+from eliot import add_destinations, log_message
+
+from brasstray.clock.loop import LoopClock
+from brasstray.host.event_log import EventLog
+from brasstray.host.identity import HostIdentity
+from brasstray.host.outside import Outside
+from brasstray.host.pool_host import PoolHost
+from brasstray.host.timing import HostTiming
+from brasstray.http.server import HttpServer, listen
+from brasstray.job.ids import DataCentreName, HostName
+from brasstray.job.incarnation import new_incarnation
+from brasstray.log.bounded_output import BoundedOutput
+from brasstray.peer.websocket_stream import WebSocketOpener, serve_streams
+from brasstray.platform.front_app import FrontApp
+from brasstray.platform.minion_listing import MinionListing
+from brasstray.platform.operator_config import OperatorConfig
+from brasstray.platform.platform_minions import PlatformMinions
+from brasstray.platform.platform_store import PlatformStore
+from brasstray.platform.ready_app import ReadyApp
+
+if TYPE_CHECKING:
+    from brasstray.metrics.pool_metrics import PoolMetrics
+    from brasstray.settings.pool_settings import PoolSettings
+
+STANDARD_OUTPUT = 1
+# How long callers go on coming after this host has said that it is not ready: the
+# platform asks once a second and takes a host out after two misses.
+ROTATION_TIME = timedelta(seconds=2.5)
+# What is left of the grace period when this host stops waiting for its jobs.
+EXIT_MARGIN = timedelta(seconds=0.7)
+
+
+class PoolDaemon:
+    """Own a host, its listeners and its connections."""
+
+    def __init__(self, settings: PoolSettings, metrics: PoolMetrics) -> None:
+        random = SystemRandom()
+        self._settings = settings
+        self._clock = LoopClock()
+        self._output = BoundedOutput(STANDARD_OUTPUT, self._clock)
+        section = settings.host
+        centre = DataCentreName(section.data_centre)
+        name = HostName(section.name)
+        identity = HostIdentity(
+            name,
+            centre,
+            new_incarnation(centre, name, random),
+            section.peers.address,
+            section.peers.port,
+        )
+        self._store = PlatformStore(
+            settings.store.address.address, settings.store.address.port
+        )
+        outside = Outside(
+            self._clock,
+            random,
+            uptime,
+            self._store,
+            OperatorConfig(self._store),
+            MinionListing(self._store),
+            PlatformMinions(),
+            WebSocketOpener(),
+            EventLog(metrics),
+        )
+        self._host = PoolHost(
+            identity, outside, HostTiming(), settings.minions.remote_factor
+        )
+        self._front = HttpServer(FrontApp(self._host))
+        self._ready = HttpServer(ReadyApp(self._host))
+
+    async def run(self) -> None:
+        """Serve until drained or cancelled."""
+        section = self._settings.host
+        add_destinations(self._output)
+        callers = listen(section.callers.address, section.callers.port)
+        ready = listen(section.ready.address, section.ready.port)
+        peers = listen(section.peers.address, section.peers.port)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._output.run)
+            group.start_soon(self._host.run)
+            group.start_soon(serve_streams, peers, self._host.serve)
+            group.start_soon(self._ready.run, ready)
+            group.start_soon(self._drain_on_signal)
+            log_message(
+                "brasstray:started",
+                incarnation=self._host.identity.incarnation,
+                peers=f"{section.peers.address}:{section.peers.port}",
+            )
+            await self._front.run(callers)
+            log_message("brasstray:stopped", jobs_left=self._host.coordinator.active)
+            self._output.flush()
+            group.cancel_scope.cancel()
+
+    async def _drain_on_signal(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            async for number in signals:
+                log_message("brasstray:signal", signal=number.name)
+                break
+        self._host.drain()
+        started = self._clock.monotonic()
+        grace = timedelta(seconds=self._settings.stop.grace_seconds)
+        await self._clock.sleep(min(ROTATION_TIME, grace / 2))
+        last = started + grace - EXIT_MARGIN
+        while self._host.coordinator.active and self._clock.monotonic() < last:
+            await self._clock.sleep(timedelta(milliseconds=20))
+        self._front.stop()
+
+
+def uptime() -> timedelta:
+    """Return a steady time that goes on while the machine is suspended."""
+    return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
+
+
+__all__ = ["PoolDaemon", "uptime"]
--- /dev/null
+++ b/src/brasstray/daemon/pool_main.py
@@ -0,0 +1,40 @@
+"""Start a host of the platform."""
+
+from __future__ import annotations
+
+import os
+import sys
+from pathlib import Path
+
+import anyio
+from opentelemetry.sdk.metrics import MeterProvider
+from result import Err, Ok
+
+from brasstray.daemon.pool_daemon import PoolDaemon
+from brasstray.metrics.pool_metrics import PoolMetrics
+from brasstray.settings.pool_settings import read_pool_settings
+
+SETTINGS_VARIABLE = "BRASSTRAY_SETTINGS"
+BAD_SETTINGS_STATUS = 2
+CANNOT_LISTEN_STATUS = 3
+
+
+def main() -> int:
+    """Serve until SIGTERM; return the exit status."""
+    path = Path(os.environ.get(SETTINGS_VARIABLE, "/etc/brasstray/node.yaml"))
+    match read_pool_settings(path):
+        case Err(problems):
+            for problem in problems:
+                print(f"{path}: {problem}", file=sys.stderr)
+            return BAD_SETTINGS_STATUS
+        case Ok(settings):
+            metrics = PoolMetrics(MeterProvider([]).get_meter(settings.host.name))
+            try:
+                anyio.run(PoolDaemon(settings, metrics).run, backend="asyncio")
+            except OSError as error:
+                print(f"{path}: cannot listen: {error}", file=sys.stderr)
+                return CANNOT_LISTEN_STATUS
+    return 0
+
+
+__all__ = ["main"]
--- a/src/brasstray/entry/heartbeats.py
+++ b/src/brasstray/entry/heartbeats.py
@@ -10,7 +10,7 @@
 from brasstray.job.incarnation import data_centre_of
 from brasstray.peer.errors import PeerError
 from brasstray.peer.messages import Heartbeat
-from brasstray.store.errors import PlatformError
+from brasstray.store.errors import StoreError
 from brasstray.store.host_kind import HostKind
 
 if TYPE_CHECKING:
@@ -94,7 +94,7 @@
     async def _read_list(self) -> list[HostName]:
         try:
             hosts = await self._host_list.hosts()
-        except PlatformError:
+        except StoreError:
             return []
         entries = {h.name: h for h in hosts if h.kind is HostKind.ENTRY}
         self._membership.update_list(entries)  # type: ignore[arg-type]
--- /dev/null
+++ b/src/brasstray/host/event_log.py
@@ -0,0 +1,223 @@
+"""Write a line for each decision, and count those that operators watch."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from eliot import log_message
+
+from brasstray.batch.outcome import BatchOutcome
+from brasstray.pool.look import RunEnd
+from brasstray.pool.minion_health import Evidence
+
+if TYPE_CHECKING:
+    from brasstray.batch.ids import ConfigVersion, FencingToken, PoolId
+    from brasstray.batch.outcome import BatchResult
+    from brasstray.coordinator.active_batch import ActiveBatch
+    from brasstray.metrics.pool_metrics import PoolMetrics
+    from brasstray.pool.errors import StartRefusal
+    from brasstray.pool.minion import Minion
+    from brasstray.pool.run_record import RunRecord
+    from brasstray.pool.step_tasks import StepTasks
+
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+class EventLog:
+    """Tell eliot and the counters what a host decides and believes."""
+
+    def __init__(self, metrics: PoolMetrics) -> None:
+        self._metrics = metrics
+        self._lost: set[str] = set()
+
+    # Jobs
+
+    def answered(
+        self, active: ActiveBatch, result: BatchResult, took: timedelta
+    ) -> None:
+        """A job has its result."""
+        objective = active.due - active.arrived
+        self._metrics.count_answer(result, took, objective)
+        reason = result.reason.value if result.reason else None
+        log_message(
+            "brasstray:answer",
+            job=active.batch.id,
+            queue=active.queue.name,
+            tasks=sum(step.count for step in active.batch.steps),
+            outcome=result.outcome.value,
+            reason=reason,
+            took_ms=took // _MILLISECOND,
+            objective_ms=objective // _MILLISECOND,
+            patience_ms=(active.limit - active.arrived) // _MILLISECOND,
+            unfinished={
+                f"{step}.{index}": pool
+                for (step, index), pool in list(active.placed.items())[:8]
+            }
+            if result.outcome is not BatchOutcome.SUCCEEDED
+            else None,
+        )
+
+    def moved(self, active: ActiveBatch, count: int, pool: PoolId) -> None:
+        """Tasks go to another pool than the one first asked."""
+        self._metrics.count_reason("moved")
+        log_message("brasstray:moved", job=active.batch.id, tasks=count, pool=pool)
+
+    def claimed(self, active: ActiveBatch, count: int, pool: PoolId) -> None:
+        """Tasks are asked for again at a pool with a new owner or link."""
+        self._metrics.count_retry("claimed")
+        log_message("brasstray:claimed", job=active.batch.id, tasks=count, pool=pool)
+
+    # Runs
+
+    def started(self, minion: Minion, record: RunRecord, waited: timedelta) -> None:
+        """A start is being sent."""
+        del minion, record
+        self._metrics.count_start(waited)
+
+    def ended(self, minion: Minion, record: RunRecord, end: RunEnd) -> None:
+        """A run has ended."""
+        self._metrics.count_end(end.value)
+        if end is RunEnd.DONE:
+            return
+        log_message(
+            "brasstray:run_ended",
+            job=record.name.batch,
+            task=f"{record.name.step}.{record.name.index}",
+            run=record.run,
+            minion=minion.entry.id,
+            end=end.value,
+            percent=record.percent,
+            expected_ms=record.expected // _MILLISECOND,
+            wanted=record.task is not None,
+        )
+
+    def refused(self, minion: Minion, record: RunRecord, why: StartRefusal) -> None:
+        """A minion refused a start."""
+        self._metrics.count_retry(why.value)
+        log_message(
+            "brasstray:start_refused",
+            job=record.name.batch,
+            task=f"{record.name.step}.{record.name.index}",
+            run=record.run,
+            minion=minion.entry.id,
+            reason=why.value,
+        )
+
+    def unanswered(self, minion: Minion, record: RunRecord) -> None:
+        """A start had no response."""
+        self._metrics.count_retry("unanswered")
+        log_message(
+            "brasstray:start_unanswered",
+            job=record.name.batch,
+            task=f"{record.name.step}.{record.name.index}",
+            run=record.run,
+            minion=minion.entry.id,
+        )
+
+    def suspected(self, minion: Minion, why: Evidence) -> None:
+        """A minion gets no tasks for a while."""
+        self._metrics.count_reason(f"suspected_{why.value}")
+        log_message(
+            "brasstray:minion_suspected", minion=minion.entry.id, evidence=why.value
+        )
+
+    def trusted(self, minion: Minion) -> None:
+        """A suspected minion has ended a run well."""
+        log_message("brasstray:minion_trusted", minion=minion.entry.id)
+
+    def reach_changed(self, minion: Minion) -> None:
+        """A minion came into reach or went out of it."""
+        log_message(
+            "brasstray:minion_reach",
+            minion=minion.entry.id,
+            address=f"{minion.entry.host}:{minion.entry.port}",
+            reach=minion.reach.value,
+            runs=len(minion.runs),
+        )
+
+    def forwarded(self, step: StepTasks, count: int, pool: str) -> None:
+        """Tasks were sent on to a pool that has room."""
+        self._metrics.count_reason("forwarded")
+        log_message("brasstray:forwarded", job=step.batch, tasks=count, pool=pool)
+
+    def given_back(self, step: StepTasks, count: int, wait_ms: int) -> None:
+        """Tasks were refused, as they could not end before their caller leaves."""
+        self._metrics.count_reason("given_back")
+        log_message(
+            "brasstray:given_back", job=step.batch, tasks=count, wait_ms=wait_ms
+        )
+
+    def dropped(self, step: StepTasks, why: str) -> None:
+        """The tasks of a step are not wanted any more."""
+        self._metrics.count_reason(f"dropped_{why}")
+        log_message(
+            "brasstray:dropped", job=step.batch, tasks=len(step.tasks), reason=why
+        )
+
+    # The host
+
+    def config_adopted(self, version: ConfigVersion, source: str) -> None:
+        """A newer configuration is in force here."""
+        log_message("brasstray:config_adopted", version=version, source=source)
+
+    def config_unreadable(self, source: str, why: str) -> None:
+        """A configuration was not understood; the last one stays in force."""
+        log_message("brasstray:config_unreadable", source=source, reason=why)
+
+    def history_lost(self, what: str) -> None:
+        """The store has dropped its history; everything is read again."""
+        log_message("brasstray:history_lost", what=what)
+
+    def store_lost(self, what: str, why: str) -> None:
+        """The store gave no answer for `what`; told once until it is back."""
+        self._metrics.count_reason("store_unavailable")
+        if what not in self._lost:
+            self._lost.add(what)
+            log_message("brasstray:store_lost", what=what, reason=why)
+
+    def store_back(self, what: str) -> None:
+        """The store answers for `what` again."""
+        if what in self._lost:
+            self._lost.discard(what)
+            log_message("brasstray:store_back", what=what)
+
+    def pool_taken(self, pool: PoolId, token: FencingToken, why: str) -> None:
+        """This host owns a pool."""
+        self._metrics.count_reason("pool_taken")
+        log_message("brasstray:pool_taken", pool=pool, token=token, reason=why)
+
+    def pool_left(self, pool: PoolId, token: FencingToken, why: str) -> None:
+        """This host owns a pool no more."""
+        log_message("brasstray:pool_left", pool=pool, token=token, reason=why)
+
+    def pool_claim_failed(self, pool: PoolId, why: str) -> None:
+        """Another host took the pool first, or the store gave no answer."""
+        log_message("brasstray:pool_claim_failed", pool=pool, reason=why)
+
+    def link_up(self, pool: PoolId, host: str) -> None:
+        """The owner of a pool is in reach."""
+        log_message("brasstray:owner_reached", pool=pool, host=host)
+
+    def link_down(self, pool: PoolId, host: str, why: str) -> None:
+        """The owner of a pool is out of reach."""
+        log_message("brasstray:owner_lost", pool=pool, host=host, reason=why)
+
+    def requester_up(self, host: str) -> None:
+        """A host has opened a link to this one."""
+        log_message("brasstray:requester_reached", host=host)
+
+    def requester_lost(self, host: str, why: str) -> None:
+        """A host that asked for tasks is out of reach."""
+        log_message("brasstray:requester_lost", host=host, reason=why)
+
+    def stood_still(self, milliseconds: int) -> None:
+        """This process stood still and no longer trusts what it knew."""
+        log_message("brasstray:stood_still", milliseconds=milliseconds)
+
+    def draining(self) -> None:
+        """This host finishes what it has and leaves."""
+        log_message("brasstray:draining")
+
+
+__all__ = ["EventLog"]
--- /dev/null
+++ b/src/brasstray/host/host_events.py
@@ -0,0 +1,57 @@
+"""Define who is told what a host comes to believe, for logs and counters."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from brasstray.batch.ids import ConfigVersion, FencingToken, PoolId
+
+
+class HostEvents(Protocol):
+    """Take note of changes; never blocks."""
+
+    def config_adopted(self, version: ConfigVersion, source: str) -> None:
+        """A newer configuration is in force here."""
+
+    def config_unreadable(self, source: str, why: str) -> None:
+        """A configuration was not understood; the last one stays in force."""
+
+    def history_lost(self, what: str) -> None:
+        """The store has dropped its history; everything is read again."""
+
+    def store_lost(self, what: str, why: str) -> None:
+        """The store gave no answer for `what`; told once until it is back."""
+
+    def store_back(self, what: str) -> None:
+        """The store answers for `what` again."""
+
+    def pool_taken(self, pool: PoolId, token: FencingToken, why: str) -> None:
+        """This host owns a pool."""
+
+    def pool_left(self, pool: PoolId, token: FencingToken, why: str) -> None:
+        """This host owns a pool no more."""
+
+    def pool_claim_failed(self, pool: PoolId, why: str) -> None:
+        """Another host took the pool first, or the store gave no answer."""
+
+    def link_up(self, pool: PoolId, host: str) -> None:
+        """The owner of a pool is in reach."""
+
+    def link_down(self, pool: PoolId, host: str, why: str) -> None:
+        """The owner of a pool is out of reach."""
+
+    def requester_up(self, host: str) -> None:
+        """A host has opened a link to this one."""
+
+    def requester_lost(self, host: str, why: str) -> None:
+        """A host that asked for tasks is out of reach."""
+
+    def stood_still(self, milliseconds: int) -> None:
+        """This process stood still and no longer trusts what it knew."""
+
+    def draining(self) -> None:
+        """This host finishes what it has and leaves."""
+
+
+__all__ = ["HostEvents"]
--- /dev/null
+++ b/src/brasstray/host/identity.py
@@ -0,0 +1,21 @@
+"""Say who a host is and where its peers reach it."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from brasstray.job.ids import DataCentreName, HostName, IncarnationId
+
+
+@dataclass(frozen=True)
+class HostIdentity:
+    """Hold the names and the peer address of one incarnation of a host."""
+
+    host: HostName
+    data_centre: DataCentreName
+    incarnation: IncarnationId
+    address: str
+    peer_port: int
+
+
+__all__ = ["HostIdentity"]
--- /dev/null
+++ b/src/brasstray/host/outside.py
@@ -0,0 +1,46 @@
+"""Join what a host is given from outside."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING, Protocol
+
+from brasstray.coordinator.events import CoordinatorEvents
+from brasstray.host.host_events import HostEvents
+from brasstray.pool.owner_events import OwnerEvents
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from datetime import timedelta
+    from random import Random
+
+    from brasstray.clock.clock import Clock
+    from brasstray.host.config_source import ConfigSource, MinionList
+    from brasstray.peer.message_stream import StreamOpener
+    from brasstray.pool.minion_calls import MinionCalls
+    from brasstray.store.watchable_store import WatchableStore
+
+
+class Events(HostEvents, CoordinatorEvents, OwnerEvents, Protocol):
+    """Take note of everything that a host decides or comes to believe."""
+
+
+@dataclass(frozen=True)
+class Outside:
+    """Hold the interfaces that a host reaches the outside by.
+
+    `uptime` is a steady time that goes on while the machine is suspended.
+    """
+
+    clock: Clock
+    random: Random
+    uptime: Callable[[], timedelta]
+    store: WatchableStore
+    config: ConfigSource
+    minion_list: MinionList
+    minions: MinionCalls
+    opener: StreamOpener
+    events: Events
+
+
+__all__ = ["Events", "Outside"]
--- /dev/null
+++ b/src/brasstray/host/ownership.py
@@ -0,0 +1,215 @@
+"""Follow who owns the pools, and claim the pool of this data centre if it is vacant."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from brasstray.host.owner_record import (
+    POOL_PREFIX,
+    OwnedPool,
+    OwnerRecord,
+    owned_pool,
+    pool_key,
+    pool_of,
+)
+from brasstray.store.errors import (
+    HistoryLostError,
+    StoreConflictError,
+    StoreUnavailableError,
+)
+from brasstray.store.store import ABSENT
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from random import Random
+
+    from brasstray.batch.ids import PoolId
+    from brasstray.clock.clock import Clock
+    from brasstray.host.host_events import HostEvents
+    from brasstray.host.identity import HostIdentity
+    from brasstray.host.pool_directory import PoolDirectory
+    from brasstray.host.timing import HostTiming
+    from brasstray.store.entry import StoreEntry
+    from brasstray.store.watchable_store import WatchableStore
+
+
+class Ownership:
+    """Take the pool by compare-and-swap when nobody else holds it within reach.
+
+    Taking it from an owner that lives is safe: minions obey the highest token only.
+    It costs the runs that lapse meanwhile, so the listed owner is given time first.
+    """
+
+    def __init__(
+        self,
+        pool: PoolId,
+        identity: HostIdentity,
+        store: WatchableStore,
+        directory: PoolDirectory,
+        clock: Clock,
+        random: Random,
+        timing: HostTiming,
+        events: HostEvents,
+        take: Callable[[OwnedPool], None],
+        leave: Callable[[str], None],
+    ) -> None:
+        self._pool = pool
+        self._identity = identity
+        self._store = store
+        self._directory = directory
+        self._clock = clock
+        self._random = random
+        self._timing = timing
+        self._events = events
+        self._take = take
+        self._leave = leave
+        self._token_held = 0
+        self._token_left = 0
+        self._known = False
+        self._draining = False
+        self._vacant_since: timedelta | None = None
+        self._patience = timedelta(0)
+
+    @property
+    def known(self) -> bool:
+        """Tell whether the store has been read since the start."""
+        return self._known
+
+    def drain(self) -> None:
+        """Claim nothing from now on."""
+        self._draining = True
+
+    def drop(self) -> None:
+        """Take note that this host acts under its token no more."""
+        self._token_left = max(self._token_left, self._token_held)
+        self._token_held = 0
+
+    async def follow(self) -> None:
+        """Follow the store's entries until cancelled."""
+        while True:
+            try:
+                found = await self._store.snapshot(POOL_PREFIX)
+                self._events.store_back("pools")
+                self._learn_all(found.entries)
+                as_of = found.as_of
+                while True:
+                    changes = await self._store.watch(
+                        POOL_PREFIX, as_of, self._timing.pool_watch
+                    )
+                    for entry in changes.written:
+                        self._learn(entry)
+                    for key in changes.removed:
+                        self._forget(key)
+                    as_of = changes.as_of
+            except HistoryLostError:
+                self._events.history_lost("pools")
+            except StoreUnavailableError as error:
+                self._events.store_lost("pools", str(error))
+                await self._clock.sleep(self._timing.store_retry)
+
+    def _learn_all(self, entries: tuple[StoreEntry, ...]) -> None:
+        for entry in entries:
+            self._learn(entry)
+        listed = {entry.name for entry in entries}
+        if pool_key(self._pool) not in listed:
+            self._forget(pool_key(self._pool))
+        self._known = True
+
+    def _learn(self, entry: StoreEntry) -> None:
+        pool = pool_of(entry.name)
+        try:
+            owned = owned_pool(entry)
+        except ValueError as error:
+            self._events.pool_claim_failed(pool, f"unreadable entry: {error}")
+            return
+        self._directory.learn(pool, owned)
+        if pool == self._pool and self._token_held < owned.token:
+            if owned.owner.incarnation != self._identity.incarnation:
+                self._lose(f"taken by {owned.owner.incarnation}")
+            elif not self._draining and owned.token > self._token_left:
+                # Guards against a claim whose reply was lost: the store shows that it
+                # was written, and nobody else will claim a pool that we hold.
+                self._hold(owned)
+
+    def _forget(self, key: str) -> None:
+        self._directory.learn(pool_of(key), None)
+        if key == pool_key(self._pool):
+            self._lose("the entry was removed")
+
+    def _lose(self, why: str) -> None:
+        if self._token_held:
+            self.drop()
+            self._leave(why)
+
+    async def claim_when_vacant(self) -> None:
+        """Claim the pool whenever nobody is in reach who owns it."""
+        while True:
+            await self._clock.sleep(self._timing.tick)
+            if self._known and not self._draining and self._is_due():
+                await self._claim()
+                self._vacant_since = None
+
+    def _is_due(self) -> bool:
+        if self._token_held or not self._is_vacant():
+            self._vacant_since = None
+            return False
+        now = self._clock.monotonic()
+        if self._vacant_since is None:
+            self._vacant_since = now
+            jitter = self._random.random() * self._timing.claim_jitter
+            self._patience = self._timing.vacancy_patience + jitter
+        return now - self._vacant_since >= self._patience
+
+    def _is_vacant(self) -> bool:
+        owned = self._directory.owned(self._pool)
+        if owned is None:
+            return True
+        if owned.owner.host == self._identity.host:
+            return True
+        if self._directory.denied(self._pool):
+            return True
+        return self._directory.lost_for(self._pool) is not None
+
+    async def _claim(self) -> None:
+        owned = self._directory.owned(self._pool)
+        record = OwnerRecord(
+            host=self._identity.host,
+            incarnation=self._identity.incarnation,
+            address=self._identity.address,
+            port=self._identity.peer_port,
+        )
+        key = pool_key(self._pool)
+        value = record.model_dump_json().encode()
+        expected = ABSENT if owned is None else int(owned.token)
+        try:
+            version = await self._store.swap(key, value, expected)
+        except StoreConflictError:
+            self._events.pool_claim_failed(self._pool, "taken by another host")
+            await self._refresh()
+        except StoreUnavailableError as error:
+            self._events.pool_claim_failed(self._pool, str(error))
+            await self._clock.sleep(self._timing.store_retry)
+            await self._refresh()
+        else:
+            entry_owner = OwnedPool(owner=record, token=version)
+            self._directory.learn(self._pool, entry_owner)
+            self._hold(entry_owner)
+
+    def _hold(self, owned: OwnedPool) -> None:
+        self._token_held = owned.token
+        self._take(owned)
+
+    async def _refresh(self) -> None:
+        try:
+            entry = await self._store.get(pool_key(self._pool))
+        except StoreUnavailableError as error:
+            self._events.store_lost("pools", str(error))
+            return
+        if entry is None:
+            self._forget(pool_key(self._pool))
+        else:
+            self._learn(entry)
+
+
+__all__ = ["Ownership"]
--- /dev/null
+++ b/src/brasstray/host/pool_directory.py
@@ -0,0 +1,158 @@
+"""Know who owns each pool, and keep a way to each owner."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from brasstray.host.pool_link import PoolLink
+from brasstray.pool.pool_load import PoolLoad
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from datetime import timedelta
+
+    from anyio.abc import TaskGroup
+
+    from brasstray.batch.ids import ConfigVersion, PoolId
+    from brasstray.clock.clock import Clock
+    from brasstray.host.host_events import HostEvents
+    from brasstray.host.identity import HostIdentity
+    from brasstray.host.owner_record import OwnedPool
+    from brasstray.host.timing import HostTiming
+    from brasstray.peer.message_stream import StreamOpener
+    from brasstray.peer.pool_messages import PoolMessage
+
+
+class PoolDirectory:
+    """Hold the known owners; reach the own pool in the process, others by links."""
+
+    def __init__(
+        self,
+        identity: HostIdentity,
+        opener: StreamOpener,
+        clock: Clock,
+        timing: HostTiming,
+        events: HostEvents,
+        version: Callable[[], ConfigVersion],
+        take: Callable[[PoolId, PoolMessage], None],
+        up: Callable[[PoolId], None],
+    ) -> None:
+        self._identity = identity
+        self._opener = opener
+        self._clock = clock
+        self._timing = timing
+        self._events = events
+        self._version = version
+        self._take = take
+        self._up = up
+        self._owned: dict[PoolId, OwnedPool] = {}
+        self._links: dict[PoolId, PoolLink] = {}
+        self._taken: dict[PoolId, int] = {}
+        self._group: TaskGroup | None = None
+        self._local: Callable[[PoolMessage], None] | None = None
+        self._local_pool: PoolId | None = None
+        self._local_load: Callable[[], PoolLoad] = PoolLoad
+
+    def open(self, group: TaskGroup) -> None:
+        """Run links in `group` from now on."""
+        self._group = group
+
+    def owned(self, pool: PoolId) -> OwnedPool | None:
+        """Return who owns `pool`, as far as the store has told."""
+        return self._owned.get(pool)
+
+    def lost_for(self, pool: PoolId) -> timedelta | None:
+        """Return for how long the owner of `pool` has been out of reach."""
+        link = self._links.get(pool)
+        return None if link is None else link.lost_for(self._clock.monotonic())
+
+    def denied(self, pool: PoolId) -> bool:
+        """Tell whether the listed owner of `pool` says that it is not."""
+        link = self._links.get(pool)
+        return link is not None and link.denied
+
+    def learn(self, pool: PoolId, owned: OwnedPool | None) -> None:
+        """Take note of who owns `pool`; older news than what is known are ignored."""
+        known = self._owned.get(pool)
+        if owned is None:
+            self._owned.pop(pool, None)
+            self._drop_link(pool)
+            return
+        if known is not None and owned.token <= known.token:
+            return
+        self._owned[pool] = owned
+        self._drop_link(pool)
+        if owned.owner.incarnation == self._identity.incarnation:
+            return
+        assert self._group is not None
+        link = self._links[pool] = PoolLink(
+            pool,
+            owned,
+            self._identity,
+            self._opener,
+            self._clock,
+            self._timing,
+            self._events,
+            self._version,
+            self._take,
+            self._up,
+        )
+        self._group.start_soon(link.run)
+
+    def _drop_link(self, pool: PoolId) -> None:
+        link = self._links.pop(pool, None)
+        if link is not None:
+            link.stop()
+
+    def own(
+        self,
+        pool: PoolId,
+        tell: Callable[[PoolMessage], None],
+        load: Callable[[], PoolLoad],
+    ) -> None:
+        """Reach `pool` within the process from now on."""
+        self._local_pool, self._local, self._local_load = pool, tell, load
+
+    def disown(self) -> None:
+        """Reach no pool within the process any more."""
+        self._local_pool = self._local = None
+
+    # What a coordinator needs
+
+    def reachable(self) -> dict[PoolId, PoolLoad]:
+        """Return the pools whose owners are in reach, with their load."""
+        found = self.loads()
+        if self._local_pool is not None:
+            found[self._local_pool] = self._local_load()
+        return found
+
+    def tell(self, pool: PoolId, message: PoolMessage) -> None:
+        """Send `message` to the owner of `pool`; drop it if that is out of reach."""
+        if pool == self._local_pool and self._local is not None:
+            self._local(message)
+        elif pool in self._links:
+            self._links[pool].tell(message)
+
+    # What the owner of a pool needs
+
+    def loads(self) -> dict[PoolId, PoolLoad]:
+        """Return the load of the pools of other hosts that are in reach."""
+        found = {}
+        for pool, link in self._links.items():
+            state = link.state
+            if state is not None and pool != self._local_pool:
+                places = state.places if state.ready else 0
+                left = max(0, places - self._taken.get(pool, 0))
+                found[pool] = PoolLoad(left, state.wait_ms)
+        return found
+
+    def take_places(self, pool: PoolId, count: int) -> None:
+        """Count `count` places of `pool` as used until it tells its load again."""
+        self._taken[pool] = self._taken.get(pool, 0) + count
+
+    def heard_load(self, pool: PoolId) -> None:
+        """Take the load that `pool` has just told as it is."""
+        self._taken.pop(pool, None)
+
+
+__all__ = ["PoolDirectory"]
--- /dev/null
+++ b/src/brasstray/host/pool_host.py
@@ -0,0 +1,321 @@
+"""Run one host: serve its callers' jobs, and own its data centre's pool when due."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import anyio
+
+from brasstray.batch.ids import NO_TOKEN, PoolId
+from brasstray.coordinator.coordinator import Coordinator
+from brasstray.host.current_config import CurrentConfig
+from brasstray.host.ownership import Ownership
+from brasstray.host.pool_directory import PoolDirectory
+from brasstray.host.requester_link import RequesterLink
+from brasstray.peer.message.config_text import ConfigText
+from brasstray.peer.message.hello import Hello
+from brasstray.peer.message.ping import Ping
+from brasstray.peer.message.pool_state import PoolState
+from brasstray.peer.message.run_tasks import RunTasks
+from brasstray.peer.message.stop_tasks import StopTasks
+from brasstray.peer.message.tasks_ended import TasksEnded
+from brasstray.peer.message.tasks_returned import TasksReturned
+from brasstray.pool.owner import PoolOwner
+from brasstray.pool.pool_load import PoolLoad
+from brasstray.store.errors import StoreUnavailableError
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from brasstray.batch.ids import ConfigVersion
+    from brasstray.host.outside import Outside
+    from brasstray.host.owner_record import OwnedPool
+    from brasstray.host.identity import HostIdentity
+    from brasstray.host.timing import HostTiming
+    from brasstray.peer.message_stream import MessageStream
+    from brasstray.peer.pool_messages import PoolMessage
+
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+class _LocalRequester:
+    """Pass what the own pool tells to the coordinator of the same process."""
+
+    def __init__(self, host: PoolHost, pool: PoolId) -> None:
+        self._host = host
+        self._pool = pool
+        self.name = str(host.identity.host)
+
+    def tell(self, message: PoolMessage) -> None:
+        self._host.take_from_pool(self._pool, message)
+
+
+class PoolHost:
+    """Join coordinator, ownership and owner of one host."""
+
+    def __init__(
+        self,
+        identity: HostIdentity,
+        outside: Outside,
+        timing: HostTiming,
+        remote_factor: float,
+    ) -> None:
+        self._identity = identity
+        self._outside = outside
+        self._timing = timing
+        self._remote_factor = remote_factor
+        self._clock = clock = outside.clock
+        self._events = events = outside.events
+        self._config = CurrentConfig(outside.config, clock, timing, events)
+        self._pool = PoolId(str(identity.data_centre))
+        self._directory = PoolDirectory(
+            identity,
+            outside.opener,
+            clock,
+            timing,
+            events,
+            lambda: self._config.version,
+            self.take_from_pool,
+            lambda pool: self._coordinator.claim(pool),
+        )
+        self._coordinator = Coordinator(
+            self._pool, self._directory, clock, timing.coordinator, events
+        )
+        self._ownership = Ownership(
+            self._pool,
+            identity,
+            outside.store,
+            self._directory,
+            clock,
+            outside.random,
+            timing,
+            events,
+            self._take_pool,
+            self._leave_pool,
+        )
+        self._owner: PoolOwner | None = None
+        self._owner_scope: anyio.CancelScope | None = None
+        self._local = _LocalRequester(self, self._pool)
+        self._requesters: set[RequesterLink] = set()
+        self._group: TaskGroup | None = None
+        self._draining = False
+
+    @property
+    def identity(self) -> HostIdentity:
+        """Return who this host is."""
+        return self._identity
+
+    @property
+    def coordinator(self) -> Coordinator:
+        """Return what sees jobs through."""
+        return self._coordinator
+
+    @property
+    def config(self) -> CurrentConfig:
+        """Return the configuration in force here."""
+        return self._config
+
+    @property
+    def owner(self) -> PoolOwner | None:
+        """Return the owner, while this host owns its pool."""
+        return self._owner
+
+    @property
+    def draining(self) -> bool:
+        """Tell whether this host is about to leave."""
+        return self._draining
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether callers should be sent here."""
+        return (
+            not self._draining
+            and self._config.current is not None
+            and bool(self._directory.reachable())
+        )
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with anyio.create_task_group() as group:
+            self._group = group
+            self._directory.open(group)
+            group.start_soon(self._config.follow)
+            group.start_soon(self._ownership.follow)
+            group.start_soon(self._ownership.claim_when_vacant)
+            group.start_soon(self._coordinator.watch)
+            group.start_soon(self._watch_freezes)
+
+    def drain(self) -> None:
+        """Leave the pool to another host; go on with the jobs at work here."""
+        if self._draining:
+            return
+        self._draining = True
+        self._events.draining()
+        self._ownership.drain()
+        if any(
+            link.data_centre == self._identity.data_centre for link in self._requesters
+        ):
+            self._ownership.drop()
+            self._leave_pool("draining")
+
+    # Owning
+
+    def _take_pool(self, owned: OwnedPool) -> None:
+        assert self._group is not None
+        if self._owner is not None:
+            self._leave_pool("a newer claim of ours")
+        owner = self._owner = PoolOwner(
+            self._pool,
+            owned.token,
+            self._outside.minions,
+            self._clock,
+            self._timing.pool,
+            self._remote_factor,
+            self._directory,
+            self._events,
+        )
+        self._events.pool_taken(self._pool, owned.token, "claimed")
+        self._owner_scope = anyio.CancelScope()
+        self._group.start_soon(self._run_owner, owner, self._owner_scope)
+        self._directory.own(self._pool, self._take_local, self._load)
+        self._tell_state_to_all()
+        self._coordinator.claim(self._pool)
+
+    async def _run_owner(self, owner: PoolOwner, scope: anyio.CancelScope) -> None:
+        with scope:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._list_minions, owner)
+                await owner.run()
+                group.cancel_scope.cancel()
+        if owner is self._owner and owner.deposed:
+            self._ownership.drop()
+            self._leave_pool("a minion has seen a higher token")
+
+    async def _list_minions(self, owner: PoolOwner) -> None:
+        while True:
+            try:
+                centre = self._identity.data_centre
+                owner.list_minions(await self._outside.minion_list.minions(centre))
+                self._events.store_back("minions")
+            except StoreUnavailableError as error:
+                self._events.store_lost("minions", str(error))
+            await self._clock.sleep(self._timing.pool.list_interval)
+
+    def _leave_pool(self, why: str) -> None:
+        owner, self._owner = self._owner, None
+        if owner is None or self._owner_scope is None:
+            return
+        self._directory.disown()
+        self._owner_scope.cancel()
+        self._events.pool_left(self._pool, owner.token, why)
+        self._tell_state_to_all()
+
+    def _tell_state_to_all(self) -> None:
+        for link in self._requesters:
+            link.tell_state()
+
+    def _load(self) -> PoolLoad:
+        return self._owner.load() if self._owner is not None else PoolLoad()
+
+    def _state(self) -> PoolState:
+        owner = self._owner
+        load = self._load()
+        return PoolState(
+            pool=owner.pool if owner else None,
+            token=owner.token if owner else NO_TOKEN,
+            places=load.places,
+            wait_ms=load.wait_ms,
+            ready=owner is not None and owner.settled,
+            config_version=self._config.version,
+        )
+
+    # Messages to the owner
+
+    async def serve(self, stream: MessageStream) -> None:
+        """Serve a host that has opened a connection, until it ends."""
+        link = RequesterLink(
+            stream, self._clock, self._timing, self._state, self._take_request
+        )
+        self._requesters.add(link)
+        try:
+            reason = await link.run()
+        finally:
+            self._requesters.discard(link)
+        if reason != "silent":
+            # The host may come back on another connection and ask again; its runs go
+            # on for as long as if it had only been silent.
+            await self._clock.sleep(self._timing.pool.requester_silence)
+        self._events.requester_lost(link.name, reason)
+        if self._owner is not None:
+            self._owner.lose_requester(link)
+
+    def _take_request(self, link: RequesterLink, message: PoolMessage) -> None:
+        match message:
+            case Hello():
+                link.introduce(message)
+                self._events.requester_up(link.name)
+                self._compare_config(link, message.config_version)
+            case Ping():
+                self._compare_config(link, message.config_version)
+            case ConfigText():
+                self._config.adopt_text(message.text, link.name)
+            case RunTasks():
+                if self._owner is not None:
+                    self._owner.run_tasks(link, message)
+            case StopTasks():
+                if self._owner is not None:
+                    self._owner.stop_tasks(link, message.batch)
+
+    def _compare_config(self, link: RequesterLink, version: ConfigVersion) -> None:
+        current = self._config.current
+        if current is not None and version < current.version:
+            link.tell(ConfigText(text=current.text))
+
+    def _take_local(self, message: PoolMessage) -> None:
+        if self._owner is None:
+            return
+        if isinstance(message, RunTasks):
+            self._owner.run_tasks(self._local, message)
+        elif isinstance(message, StopTasks):
+            self._owner.stop_tasks(self._local, message.batch)
+
+    # Messages to the coordinator
+
+    def take_from_pool(self, pool: PoolId, message: PoolMessage) -> None:
+        """Take what the owner of `pool` tells."""
+        match message:
+            case TasksEnded():
+                self._coordinator.take_ended(pool, message)
+            case TasksReturned():
+                self._coordinator.take_returned(pool, message)
+            case PoolState():
+                self._directory.heard_load(pool)
+                if message.config_version < self._config.version:
+                    current = self._config.current
+                    assert current is not None
+                    self._directory.tell(pool, ConfigText(text=current.text))
+            case ConfigText():
+                self._config.adopt_text(message.text, str(pool))
+
+    async def _watch_freezes(self) -> None:
+        """Find out that the process stood still, while others acted for it."""
+        last = self._outside.uptime()
+        while True:
+            await self._clock.sleep(self._timing.tick)
+            now = self._outside.uptime()
+            stood = now - last
+            last = now
+            if stood < self._timing.freeze:
+                continue
+            # Guards against orders of an owner that was suspended while another took
+            # its pool: minions that the other has not reached yet would obey. What
+            # the coordinator asked for is gone too, since owners heard nothing of it.
+            self._events.stood_still(stood // _MILLISECOND)
+            if self._owner is not None:
+                self._ownership.drop()
+                self._leave_pool("stood still")
+            self._coordinator.end_all()
+
+
+__all__ = ["PoolHost"]
--- /dev/null
+++ b/src/brasstray/host/requester_link.py
@@ -0,0 +1,83 @@
+"""Keep a connection that another host has opened to ask for tasks."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from brasstray.job.incarnation import data_centre_of
+from brasstray.peer.pipe import Pipe
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from brasstray.clock.clock import Clock
+    from brasstray.host.timing import HostTiming
+    from brasstray.job.ids import DataCentreName
+    from brasstray.peer.message.hello import Hello
+    from brasstray.peer.message.pool_state import PoolState
+    from brasstray.peer.message_stream import MessageStream
+    from brasstray.peer.pool_messages import PoolMessage
+
+
+class RequesterLink:
+    """Hear one host's requests and tell it of its tasks and of this host's state."""
+
+    def __init__(
+        self,
+        stream: MessageStream,
+        clock: Clock,
+        timing: HostTiming,
+        state: Callable[[], PoolState],
+        take: Callable[[RequesterLink, PoolMessage], None],
+    ) -> None:
+        self._clock = clock
+        self._timing = timing
+        self._state = state
+        self._take = take
+        self._pipe = Pipe(stream, timing.pool.requester_silence, self._take_message)
+        self._name = "unknown"
+        self._data_centre: DataCentreName | None = None
+
+    @property
+    def name(self) -> str:
+        """Return the host's name, once it has said it."""
+        return self._name
+
+    @property
+    def data_centre(self) -> DataCentreName | None:
+        """Return the host's data centre, once it has said who it is."""
+        return self._data_centre
+
+    def introduce(self, hello: Hello) -> None:
+        """Take note of who is at the other end."""
+        self._name = str(hello.host)
+        self._data_centre = data_centre_of(hello.incarnation)
+
+    def tell(self, message: PoolMessage) -> None:
+        """Send `message`, if the host is in reach."""
+        self._pipe.tell(message)
+
+    def tell_state(self) -> None:
+        """Tell what this host owns now."""
+        self._pipe.tell(self._state())
+
+    def _take_message(self, message: PoolMessage) -> None:
+        self._take(self, message)
+
+    async def run(self) -> str:
+        """Serve until the connection ends; return why it did."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._tell_states)
+            reason = await self._pipe.run()
+            group.cancel_scope.cancel()
+        return reason
+
+    async def _tell_states(self) -> None:
+        while True:
+            self.tell_state()
+            await self._clock.sleep(self._timing.ping)
+
+
+__all__ = ["RequesterLink"]
--- /dev/null
+++ b/src/brasstray/host/timing.py
@@ -0,0 +1,40 @@
+"""Hold the intervals by which hosts look at one another and at the store."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+from brasstray.coordinator.timing import CoordinatorTiming
+from brasstray.pool.timing import PoolTiming
+
+
+def _ms(count: int) -> timedelta:
+    return timedelta(milliseconds=count)
+
+
+@dataclass(frozen=True)
+class HostTiming:
+    """Set the intervals of a host; docs/INVARIANTS.md has the inequality they keep.
+
+    `ping` goes both ways on every link. `owner_silence` is after how many of them an
+    owner counts as lost: low enough that a takeover comes before leases lapse.
+    `claim_jitter` spreads the hosts that would take a pool over at once.
+    `freeze` is how long this process must have stood still to distrust what it knows.
+    """
+
+    ping: timedelta = _ms(120)
+    owner_silence: timedelta = _ms(400)
+    reconnect: timedelta = _ms(30)
+    vacancy_patience: timedelta = _ms(60)
+    claim_jitter: timedelta = _ms(80)
+    config_watch: timedelta = _ms(1_500)
+    pool_watch: timedelta = _ms(2_500)
+    store_retry: timedelta = _ms(150)
+    tick: timedelta = _ms(20)
+    freeze: timedelta = _ms(500)
+    pool: PoolTiming = field(default_factory=PoolTiming)
+    coordinator: CoordinatorTiming = field(default_factory=CoordinatorTiming)
+
+
+__all__ = ["HostTiming"]
--- /dev/null
+++ b/src/brasstray/log/__init__.py
@@ -0,0 +1,1 @@
+"""Write log lines without ever waiting for whoever reads them."""
--- a/src/brasstray/peer/errors.py
+++ b/src/brasstray/peer/errors.py
@@ -15,4 +15,13 @@
     """The message was sent and no reply came: it may have had its effect."""
 
 
-__all__ = ["PeerError", "PeerNotReachedError", "PeerReplyLostError"]
+class UnreadableMessageError(PeerError):
+    """What came is no message of this protocol."""
+
+
+__all__ = [
+    "PeerError",
+    "PeerNotReachedError",
+    "PeerReplyLostError",
+    "UnreadableMessageError",
+]
--- /dev/null
+++ b/src/brasstray/peer/message/run_tasks.py
@@ -0,0 +1,43 @@
+"""Ask the owner of a pool to run tasks."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+from brasstray.batch.ids import BatchId
+from brasstray.job.ids import ServiceName
+from brasstray.peer.message.peer_message import PeerMessage
+
+
+class RunTasks(PeerMessage):
+    """Ask the owner of a pool to run some tasks of one step of a job.
+
+    `due_ms` and `limit_ms` count from the sending: when the job's objective ends, and
+    when its caller leaves. `claimed` says that an owner of this pool was asked before,
+    so that the tasks may run already; `forwarded` that another pool had no room.
+    """
+
+    kind: Literal["run_tasks"] = "run_tasks"
+    batch: BatchId
+    step: int
+    indices: tuple[int, ...]
+    width: int
+    queue: str
+    service: ServiceName
+    spec: str
+    cpu_millis: int
+    memory_mb: int
+    gpus: int
+    estimate_ms: int
+    due_ms: int
+    limit_ms: int
+    priority: int
+    attempts: int
+    rack: str = ""
+    label: str = ""
+    max_per_minion: int = 0
+    forwarded: bool = False
+    claimed: bool = False
+
+
+__all__ = ["RunTasks"]
--- /dev/null
+++ b/src/brasstray/peer/message/tasks_returned.py
@@ -0,0 +1,27 @@
+"""Give tasks back that this pool will not run."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+from brasstray.batch.ids import BatchId, PoolId
+from brasstray.peer.message.peer_message import PeerMessage
+
+
+class TasksReturned(PeerMessage):
+    """Give tasks back that were not started, and name a pool that has room.
+
+    Without a pool, the tasks cannot be run before their caller leaves; a new job would
+    wait for `wait_ms`. `in_doubt` says that they may run somewhere out of reach.
+    """
+
+    kind: Literal["tasks_returned"] = "tasks_returned"
+    batch: BatchId
+    step: int
+    indices: tuple[int, ...]
+    pool: PoolId | None = None
+    wait_ms: int = 0
+    in_doubt: bool = False
+
+
+__all__ = ["TasksReturned"]
--- /dev/null
+++ b/src/brasstray/peer/websocket_stream.py
@@ -0,0 +1,93 @@
+"""Carry messages between two hosts over a websocket."""
+
+from __future__ import annotations
+
+import socket
+from typing import TYPE_CHECKING
+
+import anyio
+from websockets.asyncio.client import connect
+from websockets.asyncio.server import ServerConnection, serve
+from websockets.exceptions import ConnectionClosed, InvalidHandshake
+
+from brasstray.peer.errors import UnreadableMessageError
+from brasstray.peer.message_stream import StreamClosedError
+from brasstray.peer.pool_messages import decode_frame, encode_frame
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from websockets.asyncio.connection import Connection
+
+    from brasstray.peer.pool_messages import PoolMessage
+
+# A connection within a region opens in a few milliseconds; one into a partition would
+# hang, and another is tried instead.
+OPEN_PATIENCE_SECONDS = 0.4
+MAX_FRAME_BYTES = 8 * 1024 * 1024
+
+
+class WebSocketStream:
+    """Send frames of messages; whoever uses it finds silence by its own heartbeats."""
+
+    def __init__(self, connection: Connection) -> None:
+        self._connection = connection
+
+    async def send(self, messages: list[PoolMessage]) -> None:
+        """Send `messages` in one frame."""
+        try:
+            await self._connection.send(encode_frame(messages))
+        except ConnectionClosed as error:
+            raise StreamClosedError(str(error)) from error
+
+    async def receive(self) -> list[PoolMessage]:
+        """Return the messages of the next frame."""
+        try:
+            data = await self._connection.recv(decode=False)
+            return decode_frame(data)
+        except (ConnectionClosed, UnreadableMessageError) as error:
+            raise StreamClosedError(str(error)) from error
+
+    async def aclose(self) -> None:
+        """Abort the connection: a farewell to a silent peer would only take time."""
+        self._connection.transport.abort()
+
+
+class WebSocketOpener:
+    """Open websockets."""
+
+    async def open(self, address: str, port: int) -> WebSocketStream:
+        """Return a connection to the host that listens at `address` and `port`."""
+        try:
+            connection = await connect(
+                f"ws://{address}:{port}",
+                open_timeout=OPEN_PATIENCE_SECONDS,
+                ping_interval=None,
+                max_size=MAX_FRAME_BYTES,
+                compression=None,
+                proxy=None,
+            )
+        except (OSError, TimeoutError, InvalidHandshake, EOFError) as error:
+            raise StreamClosedError(repr(error)) from error
+        return WebSocketStream(connection)
+
+
+async def serve_streams(
+    listener: socket.socket, take: Callable[[WebSocketStream], Awaitable[None]]
+) -> None:
+    """Call `take` with each connection that comes in, until cancelled."""
+
+    async def take_connection(connection: ServerConnection) -> None:
+        await take(WebSocketStream(connection))
+
+    async with serve(
+        take_connection,
+        sock=listener,
+        ping_interval=None,
+        max_size=MAX_FRAME_BYTES,
+        compression=None,
+    ):
+        await anyio.sleep_forever()
+
+
+__all__ = ["WebSocketOpener", "WebSocketStream", "serve_streams"]
--- /dev/null
+++ b/src/brasstray/platform/configuration_body.py
@@ -0,0 +1,71 @@
+"""Decode the operators' configuration."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from pydantic import Field, ValidationError
+
+from brasstray.batch.configuration import BodyLimits, Configuration
+from brasstray.batch.ids import ConfigVersion, QueueName
+from brasstray.batch.queue import Queue
+from brasstray.host.config_source import UnreadableConfigError
+from brasstray.job.ids import ServiceName
+from brasstray.platform.body import Body
+
+
+class Route(Body):
+    """Describe a queue; `slo_ms` is what its objective has beyond the stretch."""
+
+    name: str
+    host: str
+    prefix: str
+    service: str
+    priority: int = 0
+    attempts: int = 1
+    stretch: float = 1.0
+    slo_ms: int = 0
+
+    def queue(self) -> Queue:
+        """Return the route as a queue."""
+        return Queue(
+            QueueName(self.name),
+            self.host,
+            self.prefix,
+            ServiceName(self.service),
+            self.priority,
+            max(1, self.attempts),
+            self.stretch,
+            timedelta(milliseconds=self.slo_ms),
+        )
+
+
+class Limits(Body):
+    """Bound what callers send."""
+
+    max_body_bytes: int = BodyLimits().body_bytes
+
+
+class ConfigurationBody(Body):
+    """Describe a whole configuration."""
+
+    version: int
+    routes: list[Route] = Field(default_factory=list)
+    limits: Limits = Field(default_factory=Limits)
+
+
+def parse_configuration(text: bytes) -> Configuration:
+    """Return the configuration in `text`; raise UnreadableConfigError."""
+    try:
+        body = ConfigurationBody.model_validate_json(text)
+    except ValidationError as error:
+        raise UnreadableConfigError(str(error)) from error
+    return Configuration(
+        ConfigVersion(body.version),
+        tuple(route.queue() for route in body.routes),
+        BodyLimits(body.limits.max_body_bytes),
+        text,
+    )
+
+
+__all__ = ["parse_configuration"]
--- /dev/null
+++ b/src/brasstray/platform/front_app.py
@@ -0,0 +1,148 @@
+"""Answer callers in the platform's format."""
+
+from __future__ import annotations
+
+import json
+import math
+import re
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import anyio
+
+from brasstray.batch.outcome import BatchOutcome, BatchResult, GiveUpReason
+from brasstray.http.exchange import HttpResponse, header, json_response, read_body
+from brasstray.platform.job_bodies import (
+    UnreadableJobError,
+    UnsupportedJobError,
+    parse_job,
+)
+
+if TYPE_CHECKING:
+    from brasstray.batch.ids import BatchId
+    from brasstray.batch.queue import Queue
+    from brasstray.host.pool_host import PoolHost
+    from brasstray.http.exchange import Receive, Scope, Send
+
+DEADLINE_HEADER = "x-deadline"
+# A caller that says nothing of its patience is taken to wait as long as most do.
+DEFAULT_PATIENCE = timedelta(milliseconds=1_500)
+_JOB_ID = re.compile(r"[0-9a-f]{16}")
+_CLOSE = (("connection", "close"),)
+_STATE_OF = {BatchOutcome.SUCCEEDED: "succeeded", BatchOutcome.FAILED: "failed"}
+
+
+class FrontApp:
+    """Serve the queues of the configuration in force."""
+
+    def __init__(self, host: PoolHost) -> None:
+        self._host = host
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one request; answer nobody if the caller has gone."""
+        response = await self._respond(scope, receive)
+        if response is None:
+            return
+        if self._host.draining:
+            # A caller that keeps its connection to a host that leaves would send its
+            # next request into the void.
+            response = HttpResponse(
+                response.status,
+                response.body,
+                response.content_type,
+                (*response.headers, *_CLOSE),
+            )
+        await response.send(send)
+
+    async def _respond(self, scope: Scope, receive: Receive) -> HttpResponse | None:
+        config = self._host.config.current
+        if config is None:
+            return _refusal(GiveUpReason.NO_CONFIGURATION)
+        host = (header(scope, "host") or "").partition(":")[0]
+        queue = config.queue_for(host, scope["path"])
+        body = await read_body(receive, config.limits.body_bytes)
+        if queue is None:
+            return json_response(404, {"Reason": "no such queue"})
+        if body is None:
+            return json_response(413, {"Reason": "the body is too large"})
+        rest = scope["path"][len(queue.prefix) :]
+        match scope["method"], rest:
+            case "GET", "":
+                pending = self._host.coordinator.pending(queue.name)
+                return json_response(200, {"Pending": pending})
+            case "POST", _ if _JOB_ID.fullmatch(rest):
+                return await self._submit(scope, receive, queue, rest, body)
+            case "GET", _ if _JOB_ID.fullmatch(rest):
+                if self._host.coordinator.knows(_batch_id(rest)):
+                    return json_response(200, {"State": "running"})
+                return json_response(410, {})
+            case "DELETE", _ if _JOB_ID.fullmatch(rest):
+                known = self._host.coordinator.cancel(_batch_id(rest))
+                return json_response(200 if known else 410, {})
+        return json_response(
+            400, {"Reason": "a job's id has 16 hexadecimal digits, in lower case"}
+        )
+
+    async def _submit(
+        self, scope: Scope, receive: Receive, queue: Queue, job: str, body: bytes
+    ) -> HttpResponse | None:
+        try:
+            batch = parse_job(job, body)
+        except UnreadableJobError as error:
+            return json_response(400, {"Reason": str(error)})
+        except UnsupportedJobError as error:
+            return json_response(503, {"Reason": str(error)})
+        results: list[BatchResult] = []
+
+        async def run(scope_: anyio.CancelScope) -> None:
+            found = await self._host.coordinator.run(batch, queue, _patience(scope))
+            results.append(found)
+            scope_.cancel()
+
+        async with anyio.create_task_group() as group:
+            group.start_soon(run, group.cancel_scope)
+            # A caller that hangs up wants nothing more: what runs for it is stopped.
+            while (await receive())["type"] != "http.disconnect":
+                pass
+            group.cancel_scope.cancel()
+        return _answer(results[0]) if results else None
+
+
+def _batch_id(text: str) -> BatchId:
+    return text  # type: ignore[return-value]
+
+
+def _patience(scope: Scope) -> timedelta:
+    text = header(scope, DEADLINE_HEADER)
+    try:
+        return timedelta(milliseconds=float(text)) if text else DEFAULT_PATIENCE
+    except (ValueError, OverflowError):
+        return DEFAULT_PATIENCE
+
+
+def _answer(result: BatchResult) -> HttpResponse:
+    if result.outcome in _STATE_OF:
+        return json_response(200, {"State": _STATE_OF[result.outcome]})
+    if result.outcome is BatchOutcome.CANCELLED:
+        return json_response(410, {})
+    if result.outcome is BatchOutcome.NOT_RUN:
+        assert result.reason is not None
+        return _refusal(result.reason, result.retry_after)
+    status = 504 if result.reason is GiveUpReason.TOO_LATE else 502
+    reason = result.reason.value if result.reason else ""
+    return json_response(status, {"Reason": reason})
+
+
+def _refusal(
+    reason: GiveUpReason, retry_after: timedelta | None = None
+) -> HttpResponse:
+    wait = retry_after or timedelta(seconds=1)
+    seconds = max(1, math.ceil(wait.total_seconds()))
+    return HttpResponse(
+        503,
+        json.dumps({"Reason": reason.value}).encode(),
+        headers=(("retry-after", str(seconds)),),
+    )
+
+
+__all__ = ["FrontApp"]
--- /dev/null
+++ b/src/brasstray/platform/job_bodies.py
@@ -0,0 +1,85 @@
+"""Decode the jobs that callers submit."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+from pydantic import Field, ValidationError
+
+from brasstray.batch.batch import Batch
+from brasstray.batch.ids import BatchId
+from brasstray.batch.resources import Resources
+from brasstray.batch.step import Step
+from brasstray.platform.body import Body
+
+# The largest job at full size has 1,700 tasks.
+MOST_TASKS = 10_000
+
+
+class UnreadableJobError(Exception):
+    """The body is no job."""
+
+
+class UnsupportedJobError(Exception):
+    """The job asks for what this system does not do; nothing of it runs."""
+
+
+class StepBody(Body):
+    """Describe a step; `cpu` counts thousandths of a core, `after` earlier steps."""
+
+    count: int = Field(default=1, ge=1, le=MOST_TASKS)
+    cpu: int = Field(default=0, ge=0)
+    mem_mb: int = Field(default=0, ge=0)
+    gpu: int = Field(default=0, ge=0)
+    est_ms: int = Field(default=1, ge=0)
+    after: list[int] = Field(default_factory=list)
+    data_rack: str = ""
+    required_label: str = ""
+    max_per_server: int = Field(default=0, ge=0)
+    gang: bool = False
+    target_ms: int = 0
+
+    def step(self, number: int) -> Step:
+        """Return the step; raise UnreadableJobError or UnsupportedJobError."""
+        if any(not 0 <= before < number for before in self.after):
+            raise UnreadableJobError(f"step {number} waits for a step not before it")
+        if self.gang or self.target_ms:
+            raise UnsupportedJobError(f"step {number} runs as a gang or serves users")
+        return Step(
+            self.count,
+            Resources(self.cpu, self.mem_mb, self.gpu),
+            timedelta(milliseconds=max(1, self.est_ms)),
+            tuple(self.after),
+            self.data_rack,
+            self.required_label,
+            self.max_per_server,
+        )
+
+
+class JobBody(Body):
+    """Describe a job; `best_effort` ones are answered when they end, and not stored."""
+
+    spec: str = ""
+    steps: list[StepBody] = Field(min_length=1)
+    best_effort: bool = False
+    long_running: bool = False
+    repeat_count: int = 0
+
+
+def parse_job(batch: str, text: bytes) -> Batch:
+    """Return the job in `text`; raise UnreadableJobError or UnsupportedJobError."""
+    try:
+        body = JobBody.model_validate_json(text)
+    except ValidationError as error:
+        problems = "; ".join(
+            f"{'.'.join(map(str, e['loc'])) or 'body'}: {e['msg']}"
+            for e in error.errors()
+        )
+        raise UnreadableJobError(problems) from error
+    if not body.best_effort or body.long_running or body.repeat_count:
+        raise UnsupportedJobError("only jobs with BestEffort are served")
+    steps = tuple(step.step(number) for number, step in enumerate(body.steps))
+    return Batch(BatchId(batch), body.spec, steps)
+
+
+__all__ = ["UnreadableJobError", "UnsupportedJobError", "parse_job"]
--- /dev/null
+++ b/src/brasstray/platform/platform_minions.py
@@ -0,0 +1,159 @@
+"""Call the platform's minions."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import httpcore
+from pydantic import ValidationError
+
+from brasstray.http.connections import Connections
+from brasstray.platform.minion_bodies import (
+    HoldBody,
+    HoldReply,
+    Reply,
+    StartBody,
+    StopBody,
+)
+from brasstray.platform.task_text import task_text
+from brasstray.pool.errors import (
+    FencedError,
+    MinionGoneError,
+    MinionSilentError,
+    StartRefusal,
+    StartRefusedError,
+)
+
+if TYPE_CHECKING:
+    from datetime import timedelta
+
+    from brasstray.batch.ids import FencingToken, RunNumber
+    from brasstray.batch.task_name import TaskName
+    from brasstray.job.ids import MinionId
+    from brasstray.platform.body import Body
+    from brasstray.pool.look import Look
+    from brasstray.pool.minion_entry import MinionEntry
+
+# Enough for the waiting look and the starts of a burst; more are closed when idle.
+IDLE_CONNECTIONS = 6
+_REFUSALS = {
+    "old": StartRefusal.STALE_RUN,
+    "late": StartRefusal.LEASE_PASSED,
+    "room": StartRefusal.NO_ROOM,
+}
+
+
+class PlatformMinions:
+    """Keep connections to each minion that is called."""
+
+    def __init__(self) -> None:
+        self._connections: dict[MinionId, Connections] = {}
+
+    async def hold(
+        self,
+        minion: MinionEntry,
+        token: FencingToken,
+        acknowledged: int,
+        until_ms: int | None,
+        wait: timedelta,
+        patience: timedelta,
+    ) -> Look:
+        """Extend the lease of all runs, and wait up to `wait` for one to end."""
+        body = HoldBody(
+            fencing_token=token,
+            last_seen=acknowledged,
+            until_ms=until_ms,
+            wait_ms=round(wait.total_seconds() * 1_000) or None,
+        )
+        response = await self._call(minion, "/-/hold", body, patience)
+        if response.status != 200:
+            raise MinionSilentError(f"status {response.status}")
+        try:
+            return HoldReply.model_validate_json(response.content).look()
+        except (ValidationError, ValueError, KeyError, IndexError) as error:
+            raise MinionSilentError(f"unreadable answer: {error!r}") from error
+
+    async def start(
+        self,
+        minion: MinionEntry,
+        token: FencingToken,
+        task: TaskName,
+        run: RunNumber,
+        spec: str,
+        until_ms: int,
+        patience: timedelta,
+    ) -> int:
+        """Start a run and return the minion's clock, in milliseconds."""
+        body = StartBody(
+            task=task_text(task),
+            run=run,
+            spec=spec,
+            until_ms=until_ms,
+            fencing_token=token,
+        )
+        response = await self._call(minion, "/-/run-start", body, patience)
+        if response.status == 200:
+            return _reply(response).clock_ms
+        if response.status in (429, 503):
+            raise StartRefusedError(StartRefusal.UNHEALTHY)
+        if response.status == 409:
+            reason = _reply(response).reason
+            raise StartRefusedError(_REFUSALS.get(reason, StartRefusal.NO_ROOM))
+        if response.status == 400:
+            raise StartRefusedError(StartRefusal.MALFORMED)
+        raise MinionSilentError(f"status {response.status}")
+
+    async def stop(
+        self,
+        minion: MinionEntry,
+        token: FencingToken,
+        task: TaskName,
+        run: RunNumber,
+        patience: timedelta,
+    ) -> None:
+        """Stop a run, or have it rejected if it arrives later."""
+        body = StopBody(task=task_text(task), run=run, fencing_token=token)
+        response = await self._call(minion, "/-/run-stop", body, patience)
+        if response.status != 200:
+            raise MinionSilentError(f"status {response.status}")
+
+    async def forget(self, minion: MinionEntry) -> None:
+        """Close the connections to a minion that has gone."""
+        connections = self._connections.pop(minion.id, None)
+        if connections is not None:
+            await connections.aclose()
+
+    async def _call(
+        self, minion: MinionEntry, target: str, body: Body, patience: timedelta
+    ) -> httpcore.Response:
+        connections = self._connections.get(minion.id)
+        if connections is None:
+            connections = Connections(minion.host, minion.port, IDLE_CONNECTIONS)
+            self._connections[minion.id] = connections
+        headers = [(b"X-Target-Instance", str(minion.id).encode())]
+        try:
+            response = await connections.call(
+                "POST", target, body.encode(), patience, headers
+            )
+        except (
+            TimeoutError,
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
+            raise MinionSilentError(repr(error)) from error
+        if response.status == 421:
+            raise MinionGoneError(str(minion.id))
+        if response.status == 409 and _reply(response).reason == "fence":
+            raise FencedError(str(minion.id))
+        return response
+
+
+def _reply(response: httpcore.Response) -> Reply:
+    try:
+        return Reply.model_validate_json(response.content)
+    except ValidationError as error:
+        raise MinionSilentError(f"unreadable answer: {error}") from error
+
+
+__all__ = ["PlatformMinions"]
--- /dev/null
+++ b/src/brasstray/platform/platform_store.py
@@ -0,0 +1,143 @@
+"""Call the platform's key-value store."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING, TypeVar
+from urllib.parse import urlencode
+
+import httpcore
+from pydantic import ValidationError
+
+from brasstray.http.connections import Connections
+from brasstray.platform.store_bodies import (
+    Committed,
+    Events,
+    Item,
+    Page,
+    Transaction,
+    swap_body,
+)
+from brasstray.store.errors import (
+    HistoryLostError,
+    StoreConflictError,
+    StoreUnavailableError,
+)
+from brasstray.store.watchable_store import Changes, Snapshot
+
+if TYPE_CHECKING:
+    from brasstray.platform.body import Body
+    from brasstray.store.entry import StoreEntry
+
+    _B = TypeVar("_B", bound=Body)
+
+# The store answers in 4 ms; a slow one takes 50 times as long and more. A call that
+# a silent store swallowed never returns.
+CALL_PATIENCE = timedelta(milliseconds=800)
+# What a waiting watch may take beyond its wait.
+WATCH_MARGIN = timedelta(milliseconds=400)
+IDLE_CONNECTIONS = 3
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+class PlatformStore:
+    """Read, write and watch keys; a lost answer counts as unavailable."""
+
+    def __init__(self, address: str, port: int) -> None:
+        self._connections = Connections(address, port, IDLE_CONNECTIONS)
+
+    async def get(self, name: str) -> StoreEntry | None:
+        """Return the entry called `name`, if there is one."""
+        target = f"/-/kv-key?{urlencode({'Key': name})}"
+        response = await self._call("GET", target)
+        if response.status == 404:
+            return None
+        return _decode(Item, response).entry()
+
+    async def swap(self, name: str, value: bytes, expected: int) -> int:
+        """Write `value` if the version is `expected`; return the new version."""
+        content = swap_body(name, value, expected)
+        response = await self._call("POST", "/-/kv-txn", content)
+        if response.status == 412:
+            raise StoreConflictError(name)
+        return _decode(Committed, response).revision
+
+    async def scan(self, prefix: str, after: str = "") -> list[StoreEntry]:
+        """Return a page of entries under `prefix` named beyond `after`, in order."""
+        page = await self._page(prefix, after)
+        return [item.entry() for item in page.items]
+
+    async def delete(self, name: str) -> None:
+        """Remove the entry called `name`, if there is one."""
+        await self._call("POST", "/-/kv-txn", Transaction(deletes=[name]).encode())
+
+    async def snapshot(self, prefix: str) -> Snapshot:
+        """Return all entries under `prefix`."""
+        entries: list[StoreEntry] = []
+        as_of, after = None, ""
+        while True:
+            page = await self._page(prefix, after)
+            # Guards against a change between two pages: watching goes on from the
+            # first page, so that no change after it is missed.
+            as_of = page.as_of if as_of is None else as_of
+            entries.extend(item.entry() for item in page.items)
+            if not page.has_more or not page.items:
+                return Snapshot(tuple(entries), as_of)
+            after = page.items[-1].key
+
+    async def watch(self, prefix: str, after: int, wait: timedelta) -> Changes:
+        """Return the changes under `prefix` after a version, or none after `wait`."""
+        query = {"Prefix": prefix, "After": after, "WaitMs": wait // _MILLISECOND}
+        target = f"/-/kv-watch?{urlencode(query)}"
+        response = await self._call("GET", target, patience=wait + WATCH_MARGIN)
+        if response.status == 410:
+            raise HistoryLostError(prefix)
+        found = _decode(Events, response)
+        return Changes(
+            tuple(item.entry() for item in found.events if not item.removed),
+            tuple(item.key for item in found.events if item.removed),
+            found.as_of,
+        )
+
+    async def aclose(self) -> None:
+        """Close every connection."""
+        await self._connections.aclose()
+
+    async def _page(self, prefix: str, after: str) -> Page:
+        query = {"Prefix": prefix} | ({"After": after} if after else {})
+        response = await self._call("GET", f"/-/kv-range?{urlencode(query)}")
+        return _decode(Page, response)
+
+    async def _call(
+        self,
+        method: str,
+        target: str,
+        content: bytes = b"",
+        patience: timedelta = CALL_PATIENCE,
+    ) -> httpcore.Response:
+        what = f"{method} {target.partition('?')[0]}"
+        try:
+            response = await self._connections.call(method, target, content, patience)
+        except TimeoutError as error:
+            raise StoreUnavailableError(f"{what}: no answer") from error
+        except (
+            httpcore.NetworkError,
+            httpcore.ProtocolError,
+            httpcore.TimeoutException,
+        ) as error:
+            raise StoreUnavailableError(f"{what}: {error!r}") from error
+        if response.status not in (200, 404, 410, 412):
+            raise StoreUnavailableError(f"{what}: status {response.status}")
+        return response
+
+
+def _decode(kind: type[_B], response: httpcore.Response) -> _B:
+    if response.status != 200:
+        raise StoreUnavailableError(f"status {response.status}")
+    try:
+        return kind.model_validate_json(response.content)
+    except ValidationError as error:
+        raise StoreUnavailableError(f"unreadable answer: {error}") from error
+
+
+__all__ = ["PlatformStore"]
--- /dev/null
+++ b/src/brasstray/platform/store_bodies.py
@@ -0,0 +1,84 @@
+"""Describe the bodies of the store's calls."""
+
+from __future__ import annotations
+
+from base64 import b64decode, b64encode
+
+from pydantic import Field
+
+from brasstray.platform.body import Body
+from brasstray.store.entry import StoreEntry
+
+
+class Item(Body):
+    """Hold a key and its value in base64; `removed` marks an event of removal."""
+
+    key: str
+    value: str = ""
+    revision: int
+    removed: bool = False
+
+    def entry(self) -> StoreEntry:
+        """Return the item as an entry."""
+        return StoreEntry(self.key, b64decode(self.value), self.revision)
+
+
+class Page(Body):
+    """Hold a page of items; the next begins after the last key."""
+
+    items: list[Item] = Field(default_factory=list, alias="items")
+    has_more: bool = False
+    as_of: int
+
+
+class Events(Body):
+    """Hold the changes under a prefix, and the revision to go on from."""
+
+    events: list[Item] = Field(default_factory=list, alias="events")
+    as_of: int
+
+
+class Expectation(Body):
+    """Name the revision at which a key must be; 0 means that there is none."""
+
+    key: str
+    revision: int
+
+
+class Write(Body):
+    """Name a key and its new value in base64."""
+
+    key: str
+    value: str
+
+
+class Transaction(Body):
+    """Write and delete if all expectations hold."""
+
+    expect: list[Expectation] = Field(default_factory=list)
+    writes: list[Write] = Field(default_factory=list)
+    deletes: list[str] = Field(default_factory=list)
+
+
+class Committed(Body):
+    """Hold the revision that a transaction made."""
+
+    revision: int
+
+
+def swap_body(name: str, value: bytes, expected: int) -> bytes:
+    """Return the transaction that writes `value` if the revision is `expected`."""
+    return Transaction(
+        expect=[Expectation(key=name, revision=expected)],
+        writes=[Write(key=name, value=b64encode(value).decode())],
+    ).encode()
+
+
+__all__ = [
+    "Committed",
+    "Events",
+    "Item",
+    "Page",
+    "Transaction",
+    "swap_body",
+]
--- /dev/null
+++ b/src/brasstray/pool/durations.py
@@ -0,0 +1,58 @@
+"""Learn how long tasks take, by queue and by minion."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from brasstray.job.ids import MinionId
+    from brasstray.pool.step_tasks import StepTasks
+
+# The weight of one run in the averages: a minion's speed is known after some ten runs,
+# and one odd run moves it by a tenth.
+WEIGHT = 0.1
+# A run counts as at most this many times its estimate, so that one that stood still
+# does not make a minion or a queue look slow for long.
+LARGEST_RATIO = 4.0
+SMALLEST_EXPECTATION = timedelta(milliseconds=5)
+
+
+class Durations:
+    """Hold the learned ratio of durations to callers' estimates.
+
+    `remote_factor` is how many times as long a task takes away from its data.
+    """
+
+    def __init__(self, remote_factor: float) -> None:
+        self._remote_factor = remote_factor
+        self._by_queue: dict[str, float] = {}
+        self._by_minion: dict[MinionId, float] = {}
+
+    def expected(
+        self, step: StepTasks, minion: MinionId | None, labels: tuple[str, ...]
+    ) -> timedelta:
+        """Return how long a task of `step` should take on `minion`."""
+        ratio = self._by_queue.get(step.queue, 1.0)
+        if minion is not None:
+            ratio *= self._by_minion.get(minion, 1.0)
+        if step.rack and labels and step.rack not in labels:
+            ratio *= self._remote_factor
+        return max(SMALLEST_EXPECTATION, step.estimate * ratio)
+
+    def learn(
+        self, step: StepTasks, minion: MinionId, expected: timedelta, took: timedelta
+    ) -> None:
+        """Note that a run expected to last `expected` on `minion` took `took`."""
+        ratio = min(took / expected, LARGEST_RATIO)
+        queue = self._by_queue.get(step.queue, 1.0)
+        self._by_queue[step.queue] = queue * (1 + WEIGHT / 2 * (ratio - 1))
+        speed = self._by_minion.get(minion, 1.0)
+        self._by_minion[minion] = speed * (1 + WEIGHT * (ratio - 1))
+
+    def forget(self, minion: MinionId) -> None:
+        """Drop what is known of a minion that has gone."""
+        self._by_minion.pop(minion, None)
+
+
+__all__ = ["Durations"]
--- /dev/null
+++ b/src/brasstray/pool/lease_clock.py
@@ -0,0 +1,55 @@
+"""Bound what a minion's clock shows, from what it showed last."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from brasstray.pool.timing import PoolTiming
+
+_MILLISECOND = timedelta(milliseconds=1)
+
+
+class LeaseClock:
+    """Reckon one minion's steady clock and the latest lease it may hold.
+
+    The clock was read somewhere between a call's sending and its response, and may run
+    slow. So `surely` counts from the response at the slowest rate: a lease has ended
+    for sure only when that has passed it.
+    """
+
+    def __init__(self, timing: PoolTiming) -> None:
+        self._timing = timing
+        self._shown_ms: int | None = None
+        self._shown_at = timedelta()
+        self._latest_until_ms = 0
+
+    @property
+    def known(self) -> bool:
+        """Tell whether the clock has been seen."""
+        return self._shown_ms is not None
+
+    def show(self, clock_ms: int, received: timedelta) -> None:
+        """Note that a response received at `received` showed `clock_ms`."""
+        self._shown_ms = clock_ms
+        self._shown_at = received
+
+    def next_until(self, now: timedelta) -> int:
+        """Return the lease to ask for at `now`, and note that it may be granted."""
+        assert self._shown_ms is not None
+        passed = (now - self._shown_at + self._timing.lease) // _MILLISECOND
+        until = self._shown_ms + passed
+        self._latest_until_ms = max(self._latest_until_ms, until)
+        return until
+
+    def lapse_wait(self, now: timedelta) -> timedelta:
+        """Return how long until every lease asked for has ended for sure."""
+        if self._shown_ms is None:
+            return self._timing.lease * (1 + self._timing.clock_rate_error)
+        left = (self._latest_until_ms - self._shown_ms) * _MILLISECOND
+        slowest = 1 - self._timing.clock_rate_error
+        return max(timedelta(0), left / slowest - (now - self._shown_at))
+
+
+__all__ = ["LeaseClock"]
--- /dev/null
+++ b/src/brasstray/pool/minion.py
@@ -0,0 +1,86 @@
+"""Keep the book of one minion: its room, its runs and how far it is trusted."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from brasstray.batch.resources import Resources
+from brasstray.pool.minion_health import MinionHealth
+from brasstray.pool.run_record import RunState
+
+if TYPE_CHECKING:
+    from datetime import timedelta
+
+    from brasstray.batch.ids import RunNumber
+    from brasstray.batch.task_name import TaskName
+    from brasstray.pool.minion_entry import MinionEntry
+    from brasstray.pool.run_record import RunRecord
+
+
+class Reach(Enum):
+    """Tell whether a minion is in reach of its owner.
+
+    NEW: not yet fenced, so an earlier owner's orders would still be obeyed there.
+    """
+
+    NEW = "new"
+    HELD = "held"
+    SILENT = "silent"
+    GONE = "gone"
+
+
+class Minion:
+    """Hold an entry and every run that may use its resources.
+
+    A run counts against the room from before its start is sent until its end is
+    listed, or until it is certain that it will not begin. A minion that does not guard
+    its capacity would otherwise be overfull for as long as a message is under way.
+    """
+
+    def __init__(self, entry: MinionEntry) -> None:
+        self.entry = entry
+        self.reach = Reach.NEW
+        self.health = MinionHealth()
+        self.runs: dict[tuple[TaskName, RunNumber], RunRecord] = {}
+        self._used = Resources()
+
+    @property
+    def room(self) -> Resources:
+        """Return what is free."""
+        return self.entry.capacity - self._used
+
+    @property
+    def has_unclaimed(self) -> bool:
+        """Tell whether runs of an earlier owner are here whose size is not known."""
+        return any(
+            record.task is None and record.state is RunState.ACTIVE
+            for record in self.runs.values()
+        )
+
+    def add(self, record: RunRecord) -> None:
+        """Count `record` against the room."""
+        self.runs[record.name, record.run] = record
+        self._used = self._used + record.needs
+
+    def resize(self, record: RunRecord, needs: Resources) -> None:
+        """Count `record` as needing `needs` from now on."""
+        self._used = self._used - record.needs + needs
+        record.needs = needs
+
+    def remove(self, record: RunRecord) -> bool:
+        """Free what `record` used; return whether it was still counted."""
+        if self.runs.pop((record.name, record.run), None) is None:
+            return False
+        self._used = self._used - record.needs
+        return True
+
+    def usable(self, now: timedelta) -> bool:
+        """Tell whether a new task may start here at `now`."""
+        if self.reach is not Reach.HELD or self.entry.draining or self.has_unclaimed:
+            return False
+        most = self.health.most_runs(now)
+        return most is None or len(self.runs) < most
+
+
+__all__ = ["Minion", "Reach"]
--- /dev/null
+++ b/src/brasstray/pool/minion_calls.py
@@ -0,0 +1,59 @@
+"""Define the calls that the owner of a pool makes to a minion."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from datetime import timedelta
+
+    from brasstray.batch.ids import FencingToken, RunNumber
+    from brasstray.batch.task_name import TaskName
+    from brasstray.pool.look import Look
+    from brasstray.pool.minion_entry import MinionEntry
+
+
+class MinionCalls(Protocol):
+    """Call minions; every method may raise a MinionCallError.
+
+    Times called `until_ms` are on the minion's clock, in milliseconds.
+    """
+
+    async def hold(
+        self,
+        minion: MinionEntry,
+        token: FencingToken,
+        acknowledged: int,
+        until_ms: int | None,
+        wait: timedelta,
+        patience: timedelta,
+    ) -> Look:
+        """Extend the lease of all runs, and wait up to `wait` for one to end."""
+
+    async def start(
+        self,
+        minion: MinionEntry,
+        token: FencingToken,
+        task: TaskName,
+        run: RunNumber,
+        spec: str,
+        until_ms: int,
+        patience: timedelta,
+    ) -> int:
+        """Start a run and return the minion's clock, in milliseconds."""
+
+    async def stop(
+        self,
+        minion: MinionEntry,
+        token: FencingToken,
+        task: TaskName,
+        run: RunNumber,
+        patience: timedelta,
+    ) -> None:
+        """Stop a run, or have it rejected if it arrives later."""
+
+    async def forget(self, minion: MinionEntry) -> None:
+        """Close the connections to a minion that has gone."""
+
+
+__all__ = ["MinionCalls"]
--- /dev/null
+++ b/src/brasstray/pool/minion_health.py
@@ -0,0 +1,76 @@
+"""Suspect a minion on what its runs show, and try it again later."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from brasstray.batch.ids import BatchId
+
+# Two jobs must fail in a row on a minion before it is suspected: one job alone may be
+# one that fails everywhere.
+JOBS_THAT_CONVICT = 2
+FIRST_SUSPENSION = timedelta(seconds=1)
+# A minion that has gone wrong stays so for seconds; beyond this a recovered one would
+# stand idle for longer than it was ill.
+LONGEST_SUSPENSION = timedelta(seconds=4)
+
+
+class Evidence(Enum):
+    """Tell what speaks against a minion."""
+
+    FAILURES = "failures"
+    STRAGGLING = "straggling"
+    UNHEALTHY = "unhealthy"
+
+
+class MinionHealth:
+    """Hold how far a minion is trusted.
+
+    A suspended minion gets nothing; after that it gets one task at a time until one
+    ends well, and is suspended for twice as long if it does not.
+    """
+
+    def __init__(self) -> None:
+        self._failed_jobs: set[BatchId] = set()
+        self._suspension = timedelta()
+        self._suspended_until: timedelta | None = None
+
+    @property
+    def suspected(self) -> bool:
+        """Tell whether nothing has ended well since the minion was suspected."""
+        return self._suspended_until is not None
+
+    def most_runs(self, now: timedelta) -> int | None:
+        """Return how many runs it may have at `now`; None means no bound."""
+        if self._suspended_until is None:
+            return None
+        return 0 if now < self._suspended_until else 1
+
+    def end_well(self) -> bool:
+        """Note a run that ended well; return whether the minion was suspected."""
+        was = self.suspected
+        self._failed_jobs.clear()
+        self._suspended_until = None
+        self._suspension = timedelta()
+        return was
+
+    def fail(self, batch: BatchId, now: timedelta) -> bool:
+        """Note a run that failed; return whether the minion is suspected for it."""
+        self._failed_jobs.add(batch)
+        if len(self._failed_jobs) < JOBS_THAT_CONVICT and not self.suspected:
+            return False
+        self.suspend(now)
+        return True
+
+    def suspend(self, now: timedelta) -> None:
+        """Suspend the minion from `now`, for twice as long as the last time."""
+        longer = max(FIRST_SUSPENSION, self._suspension * 2)
+        self._suspension = min(longer, LONGEST_SUSPENSION)
+        self._suspended_until = now + self._suspension
+        self._failed_jobs.clear()
+
+
+__all__ = ["Evidence", "MinionHealth"]
--- /dev/null
+++ b/src/brasstray/pool/minion_session.py
@@ -0,0 +1,235 @@
+"""Keep one minion under the owner's lease, and start and stop its runs."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from brasstray.pool.errors import (
+    FencedError,
+    MinionGoneError,
+    MinionSilentError,
+    StartRefusedError,
+)
+from brasstray.pool.lease_clock import LeaseClock
+from brasstray.pool.minion import Reach
+from brasstray.pool.run_record import RunState
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from brasstray.batch.ids import FencingToken, RunNumber
+    from brasstray.batch.task_name import TaskName
+    from brasstray.clock.clock import Clock
+    from brasstray.pool.minion import Minion
+    from brasstray.pool.minion_calls import MinionCalls
+    from brasstray.pool.owner import PoolOwner
+    from brasstray.pool.run_record import RunRecord
+    from brasstray.pool.timing import PoolTiming
+
+_NO_WAIT = timedelta(0)
+
+
+class MinionSession:
+    """Run one task that looks at a minion, and one for each start and stop.
+
+    A look without a lease only asks; a look with one extends the life of all runs.
+    """
+
+    def __init__(
+        self,
+        owner: PoolOwner,
+        minion: Minion,
+        token: FencingToken,
+        calls: MinionCalls,
+        clock: Clock,
+        timing: PoolTiming,
+        group: TaskGroup,
+    ) -> None:
+        self._owner = owner
+        self._minion = minion
+        self._token = token
+        self._calls = calls
+        self._clock = clock
+        self._timing = timing
+        self._group = group
+        self._lease = LeaseClock(timing)
+        self._acknowledged = 0
+        self._unsettled: set[tuple[TaskName, RunNumber]] = set()
+
+    @property
+    def minion(self) -> Minion:
+        """Return the minion that is kept."""
+        return self._minion
+
+    async def run(self) -> None:
+        """Keep the minion until another incarnation responds or a token fences us."""
+        try:
+            while True:
+                try:
+                    await self._settle_all()
+                    await self._keep()
+                except MinionSilentError:
+                    await self._await_lapse()
+        except MinionGoneError:
+            self._owner.lose_minion(self._minion, gone=True)
+        except FencedError:
+            self._owner.depose(self._minion)
+        finally:
+            await self._calls.forget(self._minion.entry)
+
+    async def _settle_all(self) -> None:
+        # Guards against a start whose response was lost and that arrives seconds
+        # later: its task may run elsewhere by then. Its own lease has passed, but the
+        # next hold would give it a new one. Once a stop for it has been answered the
+        # minion rejects it, so stops go before the first hold.
+        await self._look(lease=False, wait=_NO_WAIT)
+        for name, run in sorted(self._unsettled):
+            await self._call_stop(name, run)
+            self._unsettled.discard((name, run))
+        self._minion.reach = Reach.HELD
+        self._owner.reach_minion(self._minion)
+
+    async def _keep(self) -> None:
+        while True:
+            busy = bool(self._minion.runs)
+            timing = self._timing
+            wait = timing.hold_wait if busy else timing.idle_hold_wait
+            try:
+                await self._look(lease=True, wait=wait)
+            except MinionSilentError:
+                # Guards against a connection that has gone silent while new ones
+                # work: one look on another connection tells it from a dead minion.
+                await self._look(lease=False, wait=_NO_WAIT)
+
+    async def _await_lapse(self) -> None:
+        """Ask until the minion responds; once every lease is over, its runs are."""
+        if self._minion.reach is Reach.HELD:
+            self._minion.reach = Reach.SILENT
+            self._owner.reach_minion(self._minion)
+        self._unsettled |= {
+            key
+            for key, record in self._minion.runs.items()
+            if record.state in (RunState.STARTING, RunState.UNSETTLED)
+        }
+        lapsed = False
+        while True:
+            left = self._lease.lapse_wait(self._clock.monotonic())
+            if left <= _NO_WAIT and not lapsed:
+                lapsed = True
+                self._owner.lose_minion(self._minion, gone=False)
+            try:
+                await self._look(lease=False, wait=_NO_WAIT)
+            except MinionSilentError:
+                pause = self._timing.silent_pause
+                await self._clock.sleep(pause if lapsed else min(pause, left))
+                continue
+            return
+
+    async def _look(self, *, lease: bool, wait: timedelta) -> None:
+        until = None
+        asked = self._clock.monotonic()
+        if lease:
+            until = self._lease.next_until(asked)
+        look = await self._calls.hold(
+            self._minion.entry,
+            self._token,
+            self._acknowledged,
+            until,
+            wait,
+            wait + self._timing.look_patience,
+        )
+        self._lease.show(look.clock_ms, self._clock.monotonic())
+        # Ends are acknowledged by the next look only, after the owner has told them to
+        # whoever asked for the tasks: what it has not told, its successor must see.
+        fresh = tuple(e for e in look.ended if e.number > self._acknowledged)
+        if fresh:
+            self._acknowledged = max(ended.number for ended in fresh)
+        self._owner.see(self._minion, look.active, fresh, asked)
+
+    def start(self, record: RunRecord, spec: str) -> None:
+        """Send the start of `record`, which counts against the room already."""
+        self._group.start_soon(self._start, record, spec)
+
+    def stop(self, record: RunRecord) -> None:
+        """Stop `record`; its end is listed or it is certain that it will not run."""
+        if record.state in (RunState.STOPPING, RunState.STARTING, RunState.UNSETTLED):
+            # A start under way is stopped when its response is there.
+            return
+        record.state = RunState.STOPPING
+        self._group.start_soon(self._stop, record)
+
+    async def _start(self, record: RunRecord, spec: str) -> None:
+        until = self._lease.next_until(self._clock.monotonic())
+        try:
+            shown = await self._calls.start(
+                self._minion.entry,
+                self._token,
+                record.name,
+                record.run,
+                spec,
+                until,
+                self._timing.call_patience,
+            )
+        except StartRefusedError as error:
+            self._owner.take_refusal(self._minion, record, error.refusal)
+        except MinionSilentError:
+            if record.state is RunState.STARTING:
+                record.state = RunState.UNSETTLED
+                self._owner.events.unanswered(self._minion, record)
+            await self._settle(record)
+        except MinionGoneError:
+            self._owner.lose_minion(self._minion, gone=True)
+        except FencedError:
+            self._owner.depose(self._minion)
+        else:
+            self._lease.show(shown, self._clock.monotonic())
+            if record.state is RunState.STARTING:
+                record.state = RunState.ACTIVE
+            if record.task is None and record.state is RunState.ACTIVE:
+                self.stop(record)
+
+    async def _settle(self, record: RunRecord) -> None:
+        """Learn whether an unanswered start took effect; if not, see that it never does.
+
+        The run is looked for first, as it may be at work behind a lost response.
+        """
+        try:
+            await self._look(lease=False, wait=_NO_WAIT)
+        except MinionSilentError:
+            # The session finds the minion silent as well, and settles it on return.
+            pass
+        except (MinionGoneError, FencedError):
+            return
+        if record.state is RunState.UNSETTLED:
+            record.state = RunState.STOPPING
+            self._unsettled.add((record.name, record.run))
+        if record.state is RunState.STOPPING:
+            await self._stop(record)
+        elif record.task is None:
+            self.stop(record)
+
+    async def _stop(self, record: RunRecord) -> None:
+        key = (record.name, record.run)
+        while key in self._minion.runs and self._minion.reach is not Reach.GONE:
+            try:
+                await self._call_stop(*key)
+            except MinionSilentError:
+                await self._clock.sleep(self._timing.silent_pause)
+                continue
+            except (MinionGoneError, FencedError):
+                return
+            self._unsettled.discard(key)
+            # The end of a run that was there is listed within the stop time; one that
+            # was not there is rejected from now on and lists none.
+            await self._clock.sleep(self._timing.stop_time * 2)
+            self._owner.settle_stopped(self._minion, record)
+            return
+
+    async def _call_stop(self, name: TaskName, run: RunNumber) -> None:
+        await self._calls.stop(
+            self._minion.entry, self._token, name, run, self._timing.call_patience
+        )
+
+
+__all__ = ["MinionSession"]
--- /dev/null
+++ b/src/brasstray/pool/other_pools.py
@@ -0,0 +1,22 @@
+"""Define what the owner of a pool sees of other pools."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from brasstray.batch.ids import PoolId
+    from brasstray.pool.pool_load import PoolLoad
+
+
+class OtherPools(Protocol):
+    """Tell the load of other pools that are in reach, as they last told it."""
+
+    def loads(self) -> dict[PoolId, PoolLoad]:
+        """Return the loads by pool."""
+
+    def take_places(self, pool: PoolId, count: int) -> None:
+        """Count `count` places of `pool` as used until it tells its load again."""
+
+
+__all__ = ["OtherPools"]
--- /dev/null
+++ b/src/brasstray/pool/owner_events.py
@@ -0,0 +1,52 @@
+"""Define who is told of the decisions of an owner, for logs and counters."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Protocol
+
+if TYPE_CHECKING:
+    from datetime import timedelta
+
+    from brasstray.pool.errors import StartRefusal
+    from brasstray.pool.look import RunEnd
+    from brasstray.pool.minion import Minion
+    from brasstray.pool.minion_health import Evidence
+    from brasstray.pool.run_record import RunRecord
+    from brasstray.pool.step_tasks import StepTasks
+
+
+class OwnerEvents(Protocol):
+    """Take note of decisions; never blocks."""
+
+    def started(self, minion: Minion, record: RunRecord, waited: timedelta) -> None:
+        """A start is being sent."""
+
+    def ended(self, minion: Minion, record: RunRecord, end: RunEnd) -> None:
+        """A run has ended."""
+
+    def refused(self, minion: Minion, record: RunRecord, why: StartRefusal) -> None:
+        """A minion refused a start."""
+
+    def unanswered(self, minion: Minion, record: RunRecord) -> None:
+        """A start had no response."""
+
+    def suspected(self, minion: Minion, why: Evidence) -> None:
+        """A minion gets no tasks for a while."""
+
+    def trusted(self, minion: Minion) -> None:
+        """A suspected minion has ended a run well."""
+
+    def reach_changed(self, minion: Minion) -> None:
+        """A minion came into reach or went out of it."""
+
+    def forwarded(self, step: StepTasks, count: int, pool: str) -> None:
+        """Tasks were sent on to a pool that has room."""
+
+    def given_back(self, step: StepTasks, count: int, wait_ms: int) -> None:
+        """Tasks were refused, as they could not end before their caller leaves."""
+
+    def dropped(self, step: StepTasks, why: str) -> None:
+        """The tasks of a step are not wanted any more."""
+
+
+__all__ = ["OwnerEvents"]
--- /dev/null
+++ b/src/brasstray/pool/placement.py
@@ -0,0 +1,74 @@
+"""Decide which tasks go first and where they go."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from datetime import timedelta
+
+    from brasstray.pool.durations import Durations
+    from brasstray.pool.minion import Minion
+    from brasstray.pool.pool_task import PoolTask
+    from brasstray.pool.step_tasks import StepTasks
+
+# How much a minion that would be left with unusable room counts against one that is
+# faster: a whole empty minion weighs as much as a run 0.3 times longer.
+FIT_WEIGHT = 0.3
+
+
+def urgency(
+    step: StepTasks, expected: timedelta, now: timedelta
+) -> tuple[bool, bool, float]:
+    """Return what steps are sorted by, the most urgent first.
+
+    Steps that can still meet their objective go by the latest moment at which they can
+    start and do so: short jobs have little time to spare, long ones gain urgency as
+    they wait. Steps that are late already go after these, begun ones first and then
+    the shortest, so that one late job does not make the next one late as well.
+    """
+    latest_start = step.due - expected
+    if now <= latest_start:
+        return (False, False, latest_start.total_seconds())
+    return (True, not step.begun, expected.total_seconds() * len(step.tasks))
+
+
+def choose_minion(
+    task: PoolTask, minions: Iterable[Minion], durations: Durations, now: timedelta
+) -> Minion | None:
+    """Return the minion on which `task` is best started at `now`, if there is one."""
+    step = task.of
+    best, best_cost = None, 0.0
+    for minion in minions:
+        if not _may_run(task, minion, now):
+            continue
+        entry = minion.entry
+        expected = durations.expected(step, entry.id, entry.labels)
+        left = minion.room.cpu_millis - step.needs.cpu_millis
+        unused = left / max(1, entry.capacity.cpu_millis)
+        cost = expected / step.estimate + FIT_WEIGHT * unused
+        if entry.id in task.avoided:
+            cost += 1.0
+        if best is None or cost < best_cost:
+            best, best_cost = minion, cost
+    return best
+
+
+def _may_run(task: PoolTask, minion: Minion, now: timedelta) -> bool:
+    step, entry = task.of, minion.entry
+    if entry.service != step.service or not step.needs.fits(minion.room):
+        return False
+    if step.label and step.label not in entry.labels:
+        return False
+    if step.max_per_minion:
+        beside = sum(
+            name.batch == step.batch and name.step == step.step
+            for name, _ in minion.runs
+        )
+        if beside >= step.max_per_minion:
+            return False
+    return minion.usable(now)
+
+
+__all__ = ["choose_minion", "urgency"]
--- /dev/null
+++ b/src/brasstray/pool/pool_load.py
@@ -0,0 +1,16 @@
+"""Tell how much room a pool has and how long a new task would wait."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True)
+class PoolLoad:
+    """Hold what other hosts learn of a pool."""
+
+    places: int = 0
+    wait_ms: int = 0
+
+
+__all__ = ["PoolLoad"]
--- /dev/null
+++ b/src/brasstray/pool/pool_task.py
@@ -0,0 +1,40 @@
+"""Keep the book of one task that the owner of a pool was asked to run."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from brasstray.batch.ids import RunNumber
+    from brasstray.batch.task_name import TaskName
+    from brasstray.job.ids import MinionId
+    from brasstray.pool.step_tasks import StepTasks
+
+
+class TaskPhase(Enum):
+    """Tell where a task is.
+
+    CLAIMED: an earlier owner had it; it must not start before it is known whether it
+    still runs somewhere.
+    """
+
+    WAITING = "waiting"
+    CLAIMED = "claimed"
+    PLACED = "placed"
+
+
+@dataclass(slots=True, eq=False)
+class PoolTask:
+    """Hold a task, its step, and what its runs have shown."""
+
+    name: TaskName
+    of: StepTasks
+    phase: TaskPhase
+    last_run: RunNumber
+    failures: int = 0
+    avoided: set[MinionId] = field(default_factory=set)
+
+
+__all__ = ["PoolTask", "TaskPhase"]
--- /dev/null
+++ b/src/brasstray/pool/run_record.py
@@ -0,0 +1,49 @@
+"""Keep the book of one run of a task on a minion."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from datetime import timedelta
+
+    from brasstray.batch.ids import RunNumber
+    from brasstray.batch.resources import Resources
+    from brasstray.batch.task_name import TaskName
+    from brasstray.pool.pool_task import PoolTask
+
+
+class RunState(Enum):
+    """Tell what is known of a run.
+
+    UNSETTLED: its start had no response, so it may begin at any time from now.
+    """
+
+    STARTING = "starting"
+    ACTIVE = "active"
+    UNSETTLED = "unsettled"
+    STOPPING = "stopping"
+
+
+@dataclass(slots=True, eq=False)
+class RunRecord:
+    """Hold a run from before its start is sent until its end is known.
+
+    `task` is None for a run that an earlier owner started and nobody has claimed yet,
+    or that is no longer wanted.
+    """
+
+    name: TaskName
+    run: RunNumber
+    needs: Resources
+    began: timedelta
+    expected: timedelta
+    state: RunState
+    task: PoolTask | None
+    percent: int = 0
+    straggles: bool = False
+
+
+__all__ = ["RunRecord", "RunState"]
--- /dev/null
+++ b/src/brasstray/pool/step_tasks.py
@@ -0,0 +1,49 @@
+"""Keep the book of the tasks of one step that a requester asked for."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from datetime import timedelta
+
+    from brasstray.batch.ids import BatchId
+    from brasstray.batch.resources import Resources
+    from brasstray.job.ids import ServiceName
+    from brasstray.pool.pool_task import PoolTask
+    from brasstray.pool.requester import Requester
+
+
+@dataclass(slots=True, eq=False)
+class StepTasks:
+    """Hold what the tasks of one step of a job have in common.
+
+    `due` is when the job's objective ends and `limit` when its caller leaves, both on
+    the steady clock. `forwarded` marks tasks that came from another pool and stay here.
+    """
+
+    batch: BatchId
+    step: int
+    requester: Requester
+    service: ServiceName
+    spec: str
+    needs: Resources
+    estimate: timedelta
+    arrived: timedelta
+    due: timedelta
+    limit: timedelta
+    priority: int
+    attempts: int
+    rack: str
+    label: str
+    max_per_minion: int
+    forwarded: bool
+    queue: str
+    width: int
+    begun: bool = False
+    tasks: dict[int, PoolTask] = field(default_factory=dict)
+    waiting: list[PoolTask] = field(default_factory=list)
+
+
+__all__ = ["StepTasks"]
--- a/src/brasstray/settings/settings.py
+++ b/src/brasstray/settings/settings.py
@@ -98,10 +98,10 @@
 def _check(parser: ConfigParser) -> Result[Settings, list[SettingsProblem]]:
     problems: list[SettingsProblem] = []
     sections = {
-        name: _section(parser, name, kind, problems) for name, kind in _SECTIONS.items()
+        name: read_section(parser, name, kind, problems) for name, kind in _SECTIONS.items()
     }
     services = {
-        ServiceName(name.removeprefix(SERVICE_PREFIX)): _section(
+        ServiceName(name.removeprefix(SERVICE_PREFIX)): read_section(
             parser, name, ServiceSection, problems
         )
         for name in parser.sections()
@@ -123,9 +123,10 @@
     return Ok(Settings(**sections, services=services))  # type: ignore[arg-type]
 
 
-def _section(
+def read_section(
     parser: ConfigParser, name: str, kind: type[_S], problems: list[SettingsProblem]
 ) -> _S | None:
+    """Return the section called `name`, or None after adding its problems."""
     values = dict(parser[name]) if parser.has_section(name) else {}
     try:
         return kind.model_validate(values)
@@ -136,4 +137,4 @@
         return None
 
 
-__all__ = ["Settings", "read_settings"]
+__all__ = ["Settings", "read_section", "read_settings"]
