--- a/src/brasstray/batch/batch.py
+++ b/src/brasstray/batch/batch.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
-from brasstray.batch.ids import BatchId
-from brasstray.batch.step import Step
+if TYPE_CHECKING:
+    from brasstray.batch.ids import BatchId
+    from brasstray.batch.step import Step
 
 
 @dataclass(frozen=True)
--- a/src/brasstray/batch/outcome.py
+++ b/src/brasstray/batch/outcome.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from datetime import timedelta
 from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from datetime import timedelta
 
 
 class BatchOutcome(Enum):
--- a/src/brasstray/batch/queue.py
+++ b/src/brasstray/batch/queue.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from datetime import timedelta
+from typing import TYPE_CHECKING
 
-from brasstray.batch.ids import QueueName
-from brasstray.job.ids import ServiceName
+if TYPE_CHECKING:
+    from datetime import timedelta
+
+    from brasstray.batch.ids import QueueName
+    from brasstray.job.ids import ServiceName
 
 
 @dataclass(frozen=True)
--- a/src/brasstray/batch/step.py
+++ b/src/brasstray/batch/step.py
@@ -3,9 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from datetime import timedelta
+from typing import TYPE_CHECKING
 
-from brasstray.batch.resources import Resources
+if TYPE_CHECKING:
+    from datetime import timedelta
+
+    from brasstray.batch.resources import Resources
 
 
 @dataclass(frozen=True)
--- a/src/brasstray/batch/task_name.py
+++ b/src/brasstray/batch/task_name.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
-from brasstray.batch.ids import BatchId
+if TYPE_CHECKING:
+    from brasstray.batch.ids import BatchId
 
 
-class TaskName(NamedTuple):
+@dataclass(frozen=True, slots=True, order=True)
+class TaskName:
     """Tell a task from every other; the same in every run of it."""
 
     batch: BatchId
--- a/src/brasstray/coordinator/coordinator.py
+++ b/src/brasstray/coordinator/coordinator.py
@@ -63,9 +63,7 @@
         """Tell whether the job is at work here."""
         return batch in self._active
 
-    async def run(
-        self, batch: Batch, queue: Queue, patience: timedelta
-    ) -> BatchResult:
+    async def run(self, batch: Batch, queue: Queue, patience: timedelta) -> BatchResult:
         """Return the result of `batch`, whose caller waits for `patience`.
 
         If the caller's wait is cancelled and nobody else waits, its runs are stopped.
@@ -209,9 +207,7 @@
         if not indices:
             return
         if message.in_doubt:
-            self._end(
-                active, BatchResult(BatchOutcome.UNKNOWN, GiveUpReason.POOL_LOST)
-            )
+            self._end(active, BatchResult(BatchOutcome.UNKNOWN, GiveUpReason.POOL_LOST))
         elif message.pool is None:
             self._refuse(active, len(indices), message.wait_ms)
         else:
@@ -271,9 +267,7 @@
     def end_all(self) -> None:
         """Give up every job, as after standing still for longer than owners wait."""
         for active in list(self._active.values()):
-            self._end(
-                active, BatchResult(BatchOutcome.UNKNOWN, GiveUpReason.STOPPING)
-            )
+            self._end(active, BatchResult(BatchOutcome.UNKNOWN, GiveUpReason.STOPPING))
 
     def _end(self, active: ActiveBatch, result: BatchResult) -> None:
         if active.result is not None:
--- a/src/brasstray/coordinator/pools.py
+++ b/src/brasstray/coordinator/pools.py
@@ -6,7 +6,7 @@
 
 if TYPE_CHECKING:
     from brasstray.batch.ids import PoolId
-    from brasstray.peer.message.peer_message import PeerMessage
+    from brasstray.peer.pool_messages import PoolMessage
     from brasstray.pool.pool_load import PoolLoad
 
 
@@ -16,7 +16,7 @@
     def reachable(self) -> dict[PoolId, PoolLoad]:
         """Return the pools whose owners are in reach, with their load."""
 
-    def tell(self, pool: PoolId, message: PeerMessage) -> None:
+    def tell(self, pool: PoolId, message: PoolMessage) -> None:
         """Send `message` to the owner of `pool`; drop it if that is out of reach."""
 
 
--- a/src/brasstray/host/event_log.py
+++ b/src/brasstray/host/event_log.py
@@ -9,7 +9,6 @@
 
 from brasstray.batch.outcome import BatchOutcome
 from brasstray.pool.look import RunEnd
-from brasstray.pool.minion_health import Evidence
 
 if TYPE_CHECKING:
     from brasstray.batch.ids import ConfigVersion, FencingToken, PoolId
@@ -18,6 +17,7 @@
     from brasstray.metrics.pool_metrics import PoolMetrics
     from brasstray.pool.errors import StartRefusal
     from brasstray.pool.minion import Minion
+    from brasstray.pool.minion_health import Evidence
     from brasstray.pool.run_record import RunRecord
     from brasstray.pool.step_tasks import StepTasks
 
--- a/src/brasstray/host/identity.py
+++ b/src/brasstray/host/identity.py
@@ -3,8 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
-from brasstray.job.ids import DataCentreName, HostName, IncarnationId
+if TYPE_CHECKING:
+    from brasstray.job.ids import DataCentreName, HostName, IncarnationId
 
 
 @dataclass(frozen=True)
--- a/src/brasstray/host/owner_record.py
+++ b/src/brasstray/host/owner_record.py
@@ -2,11 +2,15 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
 from pydantic import BaseModel, ConfigDict
 
 from brasstray.batch.ids import FencingToken, PoolId
 from brasstray.job.ids import HostName, IncarnationId
-from brasstray.store.entry import StoreEntry
+
+if TYPE_CHECKING:
+    from brasstray.store.entry import StoreEntry
 
 POOL_PREFIX = "brasstray/pools/"
 
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -29,9 +29,9 @@
     from anyio.abc import TaskGroup
 
     from brasstray.batch.ids import ConfigVersion
+    from brasstray.host.identity import HostIdentity
     from brasstray.host.outside import Outside
     from brasstray.host.owner_record import OwnedPool
-    from brasstray.host.identity import HostIdentity
     from brasstray.host.timing import HostTiming
     from brasstray.peer.message_stream import MessageStream
     from brasstray.peer.pool_messages import PoolMessage
--- a/src/brasstray/peer/websocket_stream.py
+++ b/src/brasstray/peer/websocket_stream.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import socket
 from typing import TYPE_CHECKING
 
 import anyio
@@ -15,6 +14,7 @@
 from brasstray.peer.pool_messages import decode_frame, encode_frame
 
 if TYPE_CHECKING:
+    import socket
     from collections.abc import Awaitable, Callable
 
     from websockets.asyncio.connection import Connection
--- a/src/brasstray/pool/look.py
+++ b/src/brasstray/pool/look.py
@@ -4,9 +4,11 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import TYPE_CHECKING
 
-from brasstray.batch.ids import RunNumber
-from brasstray.batch.task_name import TaskName
+if TYPE_CHECKING:
+    from brasstray.batch.ids import RunNumber
+    from brasstray.batch.task_name import TaskName
 
 
 class RunEnd(Enum):
--- a/src/brasstray/pool/minion_entry.py
+++ b/src/brasstray/pool/minion_entry.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
-from brasstray.batch.resources import Resources
-from brasstray.job.ids import DataCentreName, MinionId, ServiceName
+if TYPE_CHECKING:
+    from brasstray.batch.resources import Resources
+    from brasstray.job.ids import DataCentreName, MinionId, ServiceName
 
 
 @dataclass(frozen=True)
--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -190,7 +190,7 @@
                 self.stop(record)
 
     async def _settle(self, record: RunRecord) -> None:
-        """Learn whether an unanswered start took effect; if not, see that it never does.
+        """Learn whether an unanswered start took effect, or see that it never does.
 
         The run is looked for first, as it may be at work behind a lost response.
         """
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -389,9 +389,7 @@
         self._events.forwarded(step, count, pool)
         indices = tuple(task.name.index for task in tasks)
         step.requester.tell(
-            TasksReturned(
-                batch=step.batch, step=step.step, indices=indices, pool=pool
-            )
+            TasksReturned(batch=step.batch, step=step.step, indices=indices, pool=pool)
         )
         self._forget_if_empty(step)
 
--- a/src/brasstray/pool/requester.py
+++ b/src/brasstray/pool/requester.py
@@ -5,17 +5,13 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
-    from brasstray.peer.message.peer_message import PeerMessage
+    from brasstray.peer.pool_messages import PoolMessage
 
 
 class Requester(Protocol):
     """Take messages about the tasks that it asked for; never blocks."""
 
-    @property
-    def name(self) -> str:
-        """Return the name of the host that asks."""
-
-    def tell(self, message: PeerMessage) -> None:
+    def tell(self, message: PoolMessage) -> None:
         """Take `message`, in order; drop it if the requester is out of reach."""
 
 
--- a/src/brasstray/settings/settings.py
+++ b/src/brasstray/settings/settings.py
@@ -98,7 +98,8 @@
 def _check(parser: ConfigParser) -> Result[Settings, list[SettingsProblem]]:
     problems: list[SettingsProblem] = []
     sections = {
-        name: read_section(parser, name, kind, problems) for name, kind in _SECTIONS.items()
+        name: read_section(parser, name, kind, problems)
+        for name, kind in _SECTIONS.items()
     }
     services = {
         ServiceName(name.removeprefix(SERVICE_PREFIX)): read_section(
