--- /dev/null
+++ b/src/brasstray_standins/leased_minion.py
@@ -0,0 +1,237 @@
+"""Stand in for a minion that runs tasks under leases and fencing tokens."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import anyio
+
+from brasstray.batch.ids import FencingToken, RunNumber
+from brasstray.batch.resources import Resources
+from brasstray.pool.errors import (
+    FencedError,
+    MinionGoneError,
+    StartRefusal,
+    StartRefusedError,
+)
+from brasstray.pool.look import ActiveRun, EndedRun, Look, RunEnd
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from brasstray.batch.task_name import TaskName
+    from brasstray.clock.clock import Clock
+    from brasstray.pool.minion_entry import MinionEntry
+
+_MILLISECOND = timedelta(milliseconds=1)
+LONGEST_LEASE = timedelta(seconds=1)
+
+
+@dataclass
+class StandInRun:
+    """Hold a run, the work it has left at `checked`, and how it will end."""
+
+    task: TaskName
+    run: RunNumber
+    needs: Resources
+    work: timedelta
+    left: timedelta
+    checked: timedelta
+    fails: bool
+
+
+@dataclass(frozen=True)
+class Work:
+    """Say what a task needs and how long it takes."""
+
+    needs: Resources
+    duration: timedelta
+    fails: bool = False
+
+
+@dataclass
+class RunBook:
+    """Count the runs of all minions, to see promises broken.
+
+    `broken` lists what went wrong, in words. `works` says what each task takes; a task
+    that is not in it takes `usual`.
+    """
+
+    usual: Work
+    works: dict[TaskName, Work] = field(default_factory=dict)
+    active: dict[TaskName, list[str]] = field(default_factory=dict)
+    starts: list[TaskName] = field(default_factory=list)
+    broken: list[str] = field(default_factory=list)
+
+    def work(self, task: TaskName) -> Work:
+        """Return what `task` takes."""
+        return self.works.get(task, self.usual)
+
+
+class LeasedMinion:
+    """Run tasks by the clock, whatever their capacity, and keep every rule else."""
+
+    def __init__(
+        self, entry: MinionEntry, clock: Clock, book: RunBook, lag_ms: int = 1_000
+    ) -> None:
+        self.entry = entry
+        self.slowness = 1.0
+        self.stuck = False
+        self.failing = False
+        self.alive = True
+        self._clock = clock
+        self._book = book
+        self._lag_ms = lag_ms
+        self._token = FencingToken(0)
+        self._until_ms = 0
+        self._runs: dict[TaskName, StandInRun] = {}
+        self._highest: dict[TaskName, RunNumber] = {}
+        self._ends: list[EndedRun] = []
+        self._numbers = 0
+        self._ended = anyio.Event()
+
+    @property
+    def clock_ms(self) -> int:
+        """Return this minion's own clock."""
+        return self._lag_ms + self._clock.monotonic() // _MILLISECOND
+
+    @property
+    def running(self) -> set[TaskName]:
+        """Return the tasks at work."""
+        return set(self._runs)
+
+    def crash(self) -> None:
+        """End all runs; nothing responds here any more."""
+        self.alive = False
+        for run in list(self._runs.values()):
+            self._leave(run)
+
+    def tick(self) -> None:
+        """Let work go on, and end what is done or whose lease has passed."""
+        now = self._clock.monotonic()
+        lapsed = self.clock_ms >= self._until_ms
+        for run in list(self._runs.values()):
+            if not self.stuck:
+                run.left -= (now - run.checked) / self.slowness
+            run.checked = now
+            if run.left <= timedelta(0):
+                self._end(run, RunEnd.FAILED if run.fails else RunEnd.DONE)
+            elif lapsed:
+                self._end(run, RunEnd.LAPSED)
+
+    def _end(self, run: StandInRun, end: RunEnd) -> None:
+        self._leave(run)
+        self._numbers += 1
+        self._ends.append(EndedRun(self._numbers, run.task, run.run, end))
+        self._ended.set()
+
+    def _leave(self, run: StandInRun) -> None:
+        del self._runs[run.task]
+        self._book.active[run.task].remove(str(self.entry.id))
+
+    def _check(self, entry: MinionEntry, token: FencingToken) -> None:
+        if entry.id != self.entry.id:
+            raise MinionGoneError(str(entry.id))
+        if token < self._token:
+            raise FencedError(str(token))
+        self._token = token
+
+    def _extend(self, until_ms: int) -> None:
+        longest = self.clock_ms + LONGEST_LEASE // _MILLISECOND
+        self._until_ms = max(self._until_ms, min(until_ms, longest))
+
+    async def hold(
+        self,
+        entry: MinionEntry,
+        token: FencingToken,
+        acknowledged: int,
+        until_ms: int | None,
+        wait: timedelta,
+    ) -> Look:
+        """Extend the lease and tell what runs, once a run ends or `wait` is over."""
+        self._check(entry, token)
+        if until_ms is not None:
+            self._extend(until_ms)
+        self._ends = [end for end in self._ends if end.number > acknowledged]
+        if not self._ends and wait:
+            self._ended = anyio.Event()
+            with anyio.move_on_after(wait.total_seconds()):
+                await self._ended.wait()
+        active = tuple(
+            ActiveRun(run.task, run.run, round(100 * (1 - run.left / run.work)))
+            for run in self._runs.values()
+        )
+        return Look(self.clock_ms, active, tuple(self._ends))
+
+    def start(
+        self,
+        entry: MinionEntry,
+        token: FencingToken,
+        task: TaskName,
+        run: RunNumber,
+        until_ms: int,
+    ) -> int:
+        """Start a run, and note it if another run of the task is at work."""
+        self._check(entry, token)
+        if self._runs.get(task) and self._runs[task].run == run:
+            return self.clock_ms
+        if run <= self._highest.get(task, 0):
+            raise StartRefusedError(StartRefusal.STALE_RUN)
+        self._extend(until_ms)
+        if self.clock_ms >= self._until_ms:
+            raise StartRefusedError(StartRefusal.LEASE_PASSED)
+        self._highest[task] = run
+        work = self._book.work(task)
+        others = self._book.active.setdefault(task, [])
+        if others:
+            self._book.broken.append(f"{task} on {self.entry.id} and {others}")
+        others.append(str(self.entry.id))
+        self._book.starts.append(task)
+        now = self._clock.monotonic()
+        self._runs[task] = StandInRun(
+            task,
+            run,
+            work.needs,
+            work.duration,
+            work.duration,
+            now,
+            work.fails or self.failing,
+        )
+        self._check_room()
+        return self.clock_ms
+
+    def _check_room(self) -> None:
+        used = Resources()
+        for run in self._runs.values():
+            used = used + run.needs
+        if not used.fits(self.entry.capacity):
+            self._book.broken.append(f"{self.entry.id} is over its capacity")
+
+    def stop(
+        self,
+        entry: MinionEntry,
+        token: FencingToken,
+        task: TaskName,
+        run: RunNumber,
+    ) -> None:
+        """Stop a run, or have it refused if it comes later."""
+        self._check(entry, token)
+        self._highest[task] = max(run, self._highest.get(task, RunNumber(0)))
+        at_work = self._runs.get(task)
+        if at_work is not None and at_work.run <= run:
+            self._end(at_work, RunEnd.STOPPED)
+
+
+async def tick_all(
+    minions: Callable[[], list[LeasedMinion]], clock: Clock, interval: timedelta
+) -> None:
+    """Let the work of `minions` go on until cancelled."""
+    while True:
+        await clock.sleep(interval)
+        for minion in minions():
+            minion.tick()
+
+
+__all__ = ["LeasedMinion", "RunBook", "StandInRun", "Work", "tick_all"]
--- /dev/null
+++ b/src/brasstray_standins/leased_minions.py
@@ -0,0 +1,147 @@
+"""Reach stand-in minions as a host does, over a network with faults."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING, TypeVar
+
+import anyio
+
+from brasstray.pool.errors import MinionSilentError
+from brasstray_standins.gate import Gate
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from anyio.abc import TaskGroup
+
+    from brasstray.batch.ids import FencingToken, RunNumber
+    from brasstray.batch.task_name import TaskName
+    from brasstray.clock.clock import Clock
+    from brasstray.job.ids import MinionId
+    from brasstray.pool.look import Look
+    from brasstray.pool.minion_entry import MinionEntry
+    from brasstray_standins.leased_minion import LeasedMinion
+
+    _T = TypeVar("_T")
+
+ONE_WAY = timedelta(milliseconds=1)
+
+
+class LeasedMinions:
+    """Call the minions of `places`; faults concern this caller only.
+
+    `cut` minions hear nothing. `swallowed` counts answers that are still to be lost.
+    `late` holds back that many starts for `lateness`, unanswered, and then has them
+    carried out.
+    """
+
+    def __init__(
+        self,
+        places: dict[MinionId, LeasedMinion],
+        clock: Clock,
+        group: TaskGroup,
+        gate: Gate | None = None,
+    ) -> None:
+        self.cut: set[MinionId] = set()
+        self.swallowed = 0
+        self.late = 0
+        self.lateness = timedelta(seconds=3)
+        self._places = places
+        self._clock = clock
+        self._group = group
+        self._gate = gate or Gate()
+
+    async def hold(
+        self,
+        minion: MinionEntry,
+        token: FencingToken,
+        acknowledged: int,
+        until_ms: int | None,
+        wait: timedelta,
+        patience: timedelta,
+    ) -> Look:
+        """Extend the lease of all runs, and wait up to `wait` for one to end."""
+
+        async def act(place: LeasedMinion) -> Look:
+            return await place.hold(minion, token, acknowledged, until_ms, wait)
+
+        return await self._call(minion, act, patience)
+
+    async def start(
+        self,
+        minion: MinionEntry,
+        token: FencingToken,
+        task: TaskName,
+        run: RunNumber,
+        spec: str,
+        until_ms: int,
+        patience: timedelta,
+    ) -> int:
+        """Start a run and return the minion's clock."""
+        del spec
+
+        async def act(place: LeasedMinion) -> int:
+            return place.start(minion, token, task, run, until_ms)
+
+        if self.late > 0:
+            self.late -= 1
+            self._group.start_soon(self._act_late, minion, act)
+            await self._clock.sleep(patience)
+            raise MinionSilentError("held back")
+        return await self._call(minion, act, patience)
+
+    async def _act_late(
+        self, minion: MinionEntry, act: Callable[[LeasedMinion], Awaitable[int]]
+    ) -> None:
+        await self._clock.sleep(self.lateness)
+        place = self._places[minion.id]
+        if place.alive:
+            try:
+                await act(place)
+            except Exception:  # noqa: BLE001, S110 - nobody waits for this answer
+                return
+
+    async def stop(
+        self,
+        minion: MinionEntry,
+        token: FencingToken,
+        task: TaskName,
+        run: RunNumber,
+        patience: timedelta,
+    ) -> None:
+        """Stop a run, or have it refused if it comes later."""
+
+        async def act(place: LeasedMinion) -> None:
+            place.stop(minion, token, task, run)
+
+        await self._call(minion, act, patience)
+
+    async def forget(self, minion: MinionEntry) -> None:
+        """Close nothing."""
+
+    async def _call(
+        self,
+        minion: MinionEntry,
+        act: Callable[[LeasedMinion], Awaitable[_T]],
+        patience: timedelta,
+    ) -> _T:
+        await self._gate.wait()
+        with anyio.move_on_after(patience.total_seconds()):
+            await self._clock.sleep(ONE_WAY)
+            place = self._places[minion.id]
+            if minion.id in self.cut or not place.alive:
+                await anyio.sleep_forever()
+            answer = await act(place)
+            if self.swallowed > 0:
+                self.swallowed -= 1
+                await anyio.sleep_forever()
+            await self._clock.sleep(ONE_WAY)
+            if minion.id not in self.cut:
+                await self._gate.wait()
+                return answer
+            await anyio.sleep_forever()
+        raise MinionSilentError(str(minion.id))
+
+
+__all__ = ["LeasedMinions"]
--- /dev/null
+++ b/src/brasstray_standins/memory_store.py
@@ -0,0 +1,142 @@
+"""Stand in for a key-value service that tells of changes, in memory."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import anyio
+
+from brasstray.store.entry import StoreEntry
+from brasstray.store.errors import (
+    HistoryLostError,
+    StoreConflictError,
+    StoreUnavailableError,
+)
+from brasstray.store.watchable_store import Changes, Snapshot
+
+if TYPE_CHECKING:
+    from brasstray.clock.clock import Clock
+
+DELAY = timedelta(milliseconds=4)
+
+
+class MemoryStore:
+    """Hold entries and their history; all hosts share one."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._entries: dict[str, StoreEntry] = {}
+        self._history: list[StoreEntry] = []
+        self._oldest = 0
+        self._version = 0
+        self._changed = anyio.Event()
+        self.down = False
+        self.cut: set[str] = set()
+
+    def put(self, name: str, value: bytes) -> int:
+        """Write without a condition, as the operator does; return the version."""
+        self._version += 1
+        entry = self._entries[name] = StoreEntry(name, value, self._version)
+        self._history.append(entry)
+        self._wake()
+        return self._version
+
+    def remove(self, name: str) -> None:
+        """Take an entry away."""
+        self._version += 1
+        self._entries.pop(name, None)
+        self._history.append(StoreEntry(name, b"", self._version))
+        self._wake()
+
+    def compact(self) -> None:
+        """Drop the history and cut the watches."""
+        self._history.clear()
+        self._oldest = self._version
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = anyio.Event()
+
+    def entries(self, prefix: str) -> tuple[StoreEntry, ...]:
+        """Return the entries under `prefix`, in order."""
+        found = [e for n, e in sorted(self._entries.items()) if n.startswith(prefix)]
+        return tuple(found)
+
+    async def swap(self, name: str, value: bytes, expected: int) -> int:
+        """Write if the version is `expected`."""
+        found = self._entries.get(name)
+        if (found.version if found else 0) != expected:
+            raise StoreConflictError(name)
+        return self.put(name, value)
+
+    async def watch(self, prefix: str, after: int, wait: timedelta) -> Changes:
+        """Return the changes after a version, or none after `wait`."""
+        with anyio.move_on_after(wait.total_seconds()):
+            while not self._since(prefix, after):
+                await self._changed.wait()
+                if self._oldest > after:
+                    raise HistoryLostError(prefix)
+        found = self._since(prefix, after)
+        written = tuple(e for e in found if e.name in self._entries and e.value)
+        removed = tuple(e.name for e in found if not e.value)
+        return Changes(written, removed, self._version)
+
+    def _since(self, prefix: str, after: int) -> list[StoreEntry]:
+        return [
+            e for e in self._history if e.version > after and e.name.startswith(prefix)
+        ]
+
+    def snapshot(self, prefix: str) -> Snapshot:
+        """Return all entries under `prefix`."""
+        return Snapshot(self.entries(prefix), self._version)
+
+
+class StoreView:
+    """Reach a store as one host does."""
+
+    def __init__(self, store: MemoryStore, host: str, clock: Clock) -> None:
+        self._store = store
+        self._host = host
+        self._clock = clock
+
+    async def _enter(self) -> None:
+        await self._clock.sleep(DELAY)
+        if self._store.down or self._host in self._store.cut:
+            raise StoreUnavailableError("the store is out of reach")
+
+    async def get(self, name: str) -> StoreEntry | None:
+        """Return the entry called `name`."""
+        await self._enter()
+        return next((e for e in self._store.entries(name) if e.name == name), None)
+
+    async def swap(self, name: str, value: bytes, expected: int) -> int:
+        """Write if the version is `expected`."""
+        await self._enter()
+        return await self._store.swap(name, value, expected)
+
+    async def scan(self, prefix: str, after: str = "") -> list[StoreEntry]:
+        """Return the entries under `prefix` beyond `after`."""
+        await self._enter()
+        return [e for e in self._store.entries(prefix) if e.name > after]
+
+    async def delete(self, name: str) -> None:
+        """Remove an entry."""
+        await self._enter()
+        self._store.remove(name)
+
+    async def snapshot(self, prefix: str) -> Snapshot:
+        """Return all entries under `prefix`."""
+        await self._enter()
+        return self._store.snapshot(prefix)
+
+    async def watch(self, prefix: str, after: int, wait: timedelta) -> Changes:
+        """Return the changes after a version, or none after `wait`."""
+        await self._enter()
+        changes = await self._store.watch(prefix, after, wait)
+        await self._enter()
+        return changes
+
+
+__all__ = ["MemoryStore", "StoreView"]
--- /dev/null
+++ b/src/brasstray_standins/memory_streams.py
@@ -0,0 +1,154 @@
+"""Carry messages between hosts in memory, over a network that can be cut."""
+
+from __future__ import annotations
+
+import math
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import anyio
+
+from brasstray.peer.message_stream import StreamClosedError
+from brasstray.peer.pool_messages import decode_frame, encode_frame
+
+if TYPE_CHECKING:
+    from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+
+    from brasstray.clock.clock import Clock
+    from brasstray.host.pool_host import PoolHost
+    from brasstray.peer.pool_messages import PoolMessage
+    from brasstray_standins.gate import Gate
+
+ONE_WAY = timedelta(milliseconds=1.5)
+OPEN_PATIENCE = timedelta(milliseconds=400)
+
+
+class Network:
+    """Know where hosts listen and which of them are cut off from one another.
+
+    A connection that was cut stays silent after the cut has healed; new ones work.
+    """
+
+    def __init__(self) -> None:
+        self.listening: dict[str, PoolHost] = {}
+        self.groups: dict[str, int] = {}
+        self.streams: list[MemoryStream] = []
+
+    def cut(self, groups: dict[str, int]) -> None:
+        """Let only hosts of the same number in `groups` reach one another."""
+        self.groups = groups
+        for stream in self.streams:
+            if not self.connected(stream.here, stream.there):
+                stream.silent = True
+
+    def connected(self, one: str, other: str) -> bool:
+        """Tell whether two hosts reach one another."""
+        return self.groups.get(one, 0) == self.groups.get(other, 0)
+
+    def reset(self, host: str) -> None:
+        """End every connection of `host`, as the end of its process does."""
+        for stream in list(self.streams):
+            if host in (stream.here, stream.there):
+                stream.break_off()
+
+
+class MemoryStream:
+    """Hold one end of a connection."""
+
+    def __init__(
+        self,
+        network: Network,
+        here: str,
+        there: str,
+        clock: Clock,
+        gate: Gate,
+        sending: MemoryObjectSendStream[bytes],
+        receiving: MemoryObjectReceiveStream[bytes],
+    ) -> None:
+        self.here = here
+        self.there = there
+        self.silent = False
+        self._network = network
+        self._clock = clock
+        self._gate = gate
+        self._sending = sending
+        self._receiving = receiving
+        network.streams.append(self)
+
+    async def send(self, messages: list[PoolMessage]) -> None:
+        """Send `messages`; they are lost if the hosts are cut off."""
+        await self._gate.wait()
+        if self.silent or not self._network.connected(self.here, self.there):
+            return
+        try:
+            await self._sending.send(encode_frame(messages))
+        except (anyio.ClosedResourceError, anyio.BrokenResourceError) as error:
+            raise StreamClosedError("closed") from error
+
+    async def receive(self) -> list[PoolMessage]:
+        """Return the next messages."""
+        try:
+            data = await self._receiving.receive()
+        except (anyio.ClosedResourceError, anyio.EndOfStream) as error:
+            raise StreamClosedError("closed") from error
+        await self._clock.sleep(ONE_WAY)
+        await self._gate.wait()
+        return decode_frame(data)
+
+    async def aclose(self) -> None:
+        """End the connection."""
+        self.break_off()
+
+    def break_off(self) -> None:
+        """End the connection at once."""
+        self._sending.close()
+        self._receiving.close()
+        if self in self._network.streams:
+            self._network.streams.remove(self)
+
+
+class MemoryOpener:
+    """Open connections from one host."""
+
+    def __init__(self, network: Network, here: str, clock: Clock, gate: Gate) -> None:
+        self._network = network
+        self._here = here
+        self._clock = clock
+        self._gate = gate
+
+    async def open(self, address: str, port: int) -> MemoryStream:
+        """Return a connection to the host called `address`."""
+        del port
+        await self._gate.wait()
+        await self._clock.sleep(ONE_WAY)
+        host = self._network.listening.get(address)
+        if not self._network.connected(self._here, address):
+            await self._clock.sleep(OPEN_PATIENCE)
+            raise StreamClosedError("no answer")
+        if host is None:
+            raise StreamClosedError("refused")
+        to_there, from_here = anyio.create_memory_object_stream[bytes](math.inf)
+        to_here, from_there = anyio.create_memory_object_stream[bytes](math.inf)
+        near = MemoryStream(
+            self._network,
+            self._here,
+            address,
+            self._clock,
+            self._gate,
+            to_there,
+            from_there,
+        )
+        far = MemoryStream(
+            self._network,
+            address,
+            self._here,
+            self._clock,
+            host.gate,  # type: ignore[attr-defined]
+            to_here,
+            from_here,
+        )
+        host.accept(far)  # type: ignore[attr-defined]
+        return near
+
+
+__all__ = ["MemoryOpener", "MemoryStream", "Network"]
--- /dev/null
+++ b/src/brasstray_standins/pool_system.py
@@ -0,0 +1,270 @@
+"""Run hosts and leased minions together in memory, on whatever clock there is."""
+
+from __future__ import annotations
+
+import json
+from dataclasses import dataclass, field
+from datetime import timedelta
+from random import Random
+from typing import TYPE_CHECKING
+
+import anyio
+
+from brasstray.batch.batch import Batch
+from brasstray.batch.configuration import Configuration
+from brasstray.batch.ids import BatchId, ConfigVersion, QueueName
+from brasstray.batch.queue import Queue
+from brasstray.batch.resources import Resources
+from brasstray.batch.step import Step
+from brasstray.clock.loop import LoopClock
+from brasstray.host.config_source import FoundConfig, UnreadableConfigError
+from brasstray.host.event_log import EventLog
+from brasstray.host.identity import HostIdentity
+from brasstray.host.outside import Outside
+from brasstray.host.pool_host import PoolHost
+from brasstray.host.timing import HostTiming
+from brasstray.job.ids import DataCentreName, HostName, MinionId, ServiceName
+from brasstray.job.incarnation import new_incarnation
+from brasstray.pool.minion_entry import MinionEntry
+from brasstray_standins.gate import Gate, GatedClock
+from brasstray_standins.leased_minion import LeasedMinion, RunBook, Work, tick_all
+from brasstray_standins.leased_minions import LeasedMinions
+from brasstray_standins.memory_store import MemoryStore, StoreView
+from brasstray_standins.memory_streams import MemoryOpener, MemoryStream, Network
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskGroup
+
+    from brasstray.batch.outcome import BatchResult
+    from brasstray.metrics.pool_metrics import PoolMetrics
+
+SERVICE = ServiceName("verlofdienst")
+CONFIG_KEY = "config"
+TICK = timedelta(milliseconds=1)
+USUAL_NEEDS = Resources(6_800, 64)
+USUAL_DURATION = timedelta(milliseconds=60)
+
+
+@dataclass(frozen=True)
+class PoolSystemSize:
+    """Say how much there is of everything."""
+
+    data_centres: int = 2
+    hosts_each: int = 3
+    minions_each: int = 4
+    capacity: Resources = Resources(16_000, 32_768)
+
+
+class _StoreConfig:
+    """Read a configuration that holds a version only."""
+
+    def __init__(self, store: StoreView) -> None:
+        self._store = store
+
+    async def read(self) -> FoundConfig:
+        found = await self._store.snapshot(CONFIG_KEY)
+        value = found.entries[-1].value if found.entries else b""
+        return FoundConfig(self.parse(value) if value else None, found.as_of)
+
+    async def wait(self, after: int, wait: timedelta) -> FoundConfig:
+        changes = await self._store.watch(CONFIG_KEY, after, wait)
+        value = changes.written[-1].value if changes.written else b""
+        return FoundConfig(self.parse(value) if value else None, changes.as_of)
+
+    def parse(self, text: bytes) -> Configuration:
+        try:
+            version = int(json.loads(text)["version"])
+        except (ValueError, KeyError) as error:
+            raise UnreadableConfigError(str(error)) from error
+        return Configuration(ConfigVersion(version), (usual_queue(),), text=text)
+
+
+@dataclass
+class _MinionList:
+    store: StoreView
+    system: PoolSystem
+
+    async def minions(self, data_centre: DataCentreName) -> list[MinionEntry]:
+        await self.store.snapshot("minions")
+        return [e for e in self.system.listed if e.data_centre == data_centre]
+
+
+@dataclass
+class RunningHost:
+    """Hold one process and the switches for its faults."""
+
+    host: PoolHost
+    calls: LeasedMinions
+    gate: Gate
+    scope: anyio.CancelScope
+    group: TaskGroup
+    served: list[anyio.CancelScope] = field(default_factory=list)
+
+    def accept(self, stream: MemoryStream) -> None:
+        """Serve a connection that another host opens."""
+        scope = anyio.CancelScope()
+        self.served.append(scope)
+        self.group.start_soon(self._serve, stream, scope)
+
+    async def _serve(self, stream: MemoryStream, scope: anyio.CancelScope) -> None:
+        with scope:
+            await self.host.serve(stream)
+
+    def end(self) -> None:
+        """End the process."""
+        for scope in (self.scope, *self.served):
+            scope.cancel()
+        self.gate.open()
+
+
+def usual_queue() -> Queue:
+    """Return the queue that all jobs of a stand-in system come from."""
+    return Queue(
+        QueueName("saldo"), "h", "/q/", SERVICE, 0, 3, 1.6, timedelta(milliseconds=60)
+    )
+
+
+def usual_batch(name: str, width: int = 4) -> Batch:
+    """Return a job of one step with tasks of the usual kind."""
+    return Batch(BatchId(name), "", (Step(width, USUAL_NEEDS, USUAL_DURATION),))
+
+
+@dataclass
+class PoolSystem:
+    """Start, kill, freeze and cut hosts and minions."""
+
+    group: TaskGroup
+    metrics: PoolMetrics
+    size: PoolSystemSize = field(default_factory=PoolSystemSize)
+    seed: int = 1
+
+    def __post_init__(self) -> None:
+        self.clock = LoopClock()
+        self.random = Random(self.seed)
+        self.store = MemoryStore(self.clock)
+        self.network = Network()
+        self.book = RunBook(Work(USUAL_NEEDS, USUAL_DURATION))
+        self.places: dict[MinionId, LeasedMinion] = {}
+        self.listed: list[MinionEntry] = []
+        self.hosts: dict[str, RunningHost] = {}
+        self.centres = [f"dc{n}" for n in range(self.size.data_centres)]
+        for centre in self.centres:
+            for number in range(self.size.minions_each):
+                self.add_minion(f"{centre}-m{number}", centre)
+        self.set_config(1)
+        self.group.start_soon(
+            tick_all, lambda: list(self.places.values()), self.clock, TICK
+        )
+
+    def add_minion(self, name: str, centre: str) -> LeasedMinion:
+        """Start a minion and list it."""
+        entry = MinionEntry(
+            MinionId(name),
+            SERVICE,
+            DataCentreName(centre),
+            name,
+            1,
+            self.size.capacity,
+            (),
+            draining=False,
+        )
+        self.listed.append(entry)
+        minion = self.places[entry.id] = LeasedMinion(entry, self.clock, self.book)
+        return minion
+
+    def set_config(self, version: int) -> None:
+        """Write a configuration, as the operator does."""
+        self.store.put(CONFIG_KEY, json.dumps({"version": version}).encode())
+
+    def start_all(self) -> None:
+        """Start every host."""
+        for centre in self.centres:
+            for number in range(self.size.hosts_each):
+                self.start(f"{centre}-h{number}", centre)
+
+    def start(self, name: str, centre: str) -> RunningHost:
+        """Start a process on the host called `name`."""
+        gate = Gate()
+        clock = GatedClock(self.clock, gate)
+        view = StoreView(self.store, name, clock)
+        calls = LeasedMinions(self.places, clock, self.group, gate)
+        identity = HostIdentity(
+            HostName(name),
+            DataCentreName(centre),
+            new_incarnation(DataCentreName(centre), HostName(name), self.random),
+            name,
+            1,
+        )
+        outside = Outside(
+            clock,
+            self.random,
+            self.clock.monotonic,
+            view,
+            _StoreConfig(view),
+            _MinionList(view, self),
+            calls,
+            MemoryOpener(self.network, name, clock, gate),
+            EventLog(self.metrics),
+        )
+        host = PoolHost(identity, outside, HostTiming(), remote_factor=1.5)
+        scope = anyio.CancelScope()
+        running = RunningHost(host, calls, gate, scope, self.group)
+        self.hosts[name] = running
+        self.network.listening[name] = running  # type: ignore[assignment]
+        self.group.start_soon(self._run, host, scope)
+        return running
+
+    async def _run(self, host: PoolHost, scope: anyio.CancelScope) -> None:
+        with scope:
+            await host.run()
+
+    def kill(self, name: str) -> None:
+        """End a process; its connections are reset."""
+        running = self.hosts.pop(name)
+        running.end()
+        self.network.listening.pop(name, None)
+        self.network.reset(name)
+
+    def owner(self, centre: int = 0) -> str:
+        """Return the name of the host that owns the pool of a data centre."""
+        names = [
+            name
+            for name, running in self.hosts.items()
+            if running.host.owner is not None
+            and running.host.identity.data_centre == self.centres[centre]
+        ]
+        # A host that was cut off may still believe that it owns the pool: the one with
+        # the highest token does.
+        return max(names, key=lambda n: self.hosts[n].host.owner.token)  # type: ignore[union-attr]
+
+    def other(self, centre: int = 0) -> str:
+        """Return the name of a host that does not own the pool of its data centre."""
+        owner = self.owner(centre)
+        return next(
+            name
+            for name, running in sorted(self.hosts.items())
+            if name != owner
+            and running.host.identity.data_centre == self.centres[centre]
+        )
+
+    async def settle(self) -> None:
+        """Wait until every data centre has an owner that knows its minions."""
+        await self.clock.sleep(timedelta(seconds=1))
+
+    async def submit(
+        self, name: str, batch: Batch, patience: timedelta = timedelta(seconds=3)
+    ) -> BatchResult:
+        """Return the result of a job submitted to the host called `name`."""
+        coordinator = self.hosts[name].host.coordinator
+        return await coordinator.run(batch, usual_queue(), patience)
+
+
+__all__ = [
+    "USUAL_DURATION",
+    "USUAL_NEEDS",
+    "PoolSystem",
+    "PoolSystemSize",
+    "RunningHost",
+    "usual_batch",
+    "usual_queue",
+]
--- /dev/null
+++ b/tests/host/conftest.py
@@ -0,0 +1,32 @@
+"""Play stories of hosts and leased minions on a virtual clock."""
+
+from __future__ import annotations
+
+import anyio
+import pytest
+from opentelemetry.metrics import NoOpMeterProvider
+from tests.conftest import run_virtual
+
+from brasstray.metrics.pool_metrics import PoolMetrics
+from brasstray_standins.pool_system import PoolSystem, PoolSystemSize
+
+
+@pytest.fixture
+def play_pools():
+    """Return a function that runs a story in a settled system and ends the system."""
+
+    def run(story, size=None, seed=1):
+        async def whole():
+            async with anyio.create_task_group() as group:
+                metrics = PoolMetrics(NoOpMeterProvider().get_meter("test"))
+                system = PoolSystem(group, metrics, size or PoolSystemSize(), seed)
+                system.start_all()
+                await system.settle()
+                with anyio.fail_after(600):
+                    result = await story(system)
+                group.cancel_scope.cancel()
+            return result, system
+
+        return run_virtual(whole)
+
+    return run
--- /dev/null
+++ b/tests/host/load.py
@@ -0,0 +1,53 @@
+"""Submit jobs one after the other while a story goes on."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import anyio
+
+from brasstray.batch.outcome import BatchOutcome
+from brasstray_standins.pool_system import usual_batch
+
+
+class Load:
+    """Submit a job to each living host in turn, and keep the results in order."""
+
+    def __init__(self, system, group, interval=timedelta(milliseconds=40), width=3):
+        self._system = system
+        self._group = group
+        self._interval = interval
+        self._width = width
+        self.results = {}
+
+    async def run(self, jobs):
+        for number in range(jobs):
+            names = sorted(self._system.hosts)
+            name = names[number % len(names)]
+            self._group.start_soon(self.submit, f"{number:016x}", name)
+            await self._system.clock.sleep(self._interval)
+
+    async def submit(self, job, name):
+        running = self._system.hosts[name]
+        began = self._system.clock.monotonic()
+        result = await self._system.submit(name, usual_batch(job, self._width))
+        if self._system.hosts.get(name) is running:
+            took = self._system.clock.monotonic() - began
+            self.results[job] = (name, result, took)
+
+    def outcomes(self):
+        return [result.outcome for _, result, _ in self.results.values()]
+
+    @property
+    def succeeded(self):
+        return self.outcomes().count(BatchOutcome.SUCCEEDED)
+
+
+async def under_load(system, strike, jobs=100, after=timedelta(seconds=1)):
+    """Return the load after `strike` has been done in the middle of it."""
+    async with anyio.create_task_group() as group:
+        load = Load(system, group)
+        group.start_soon(load.run, jobs)
+        await system.clock.sleep(after)
+        await strike()
+    return load
--- /dev/null
+++ b/tests/host/test_pool_failures.py
@@ -0,0 +1,364 @@
+"""Check that jobs survive what befalls hosts, minions and the store.
+
+In every story no task may be at work twice at the same time and no minion may be over
+its capacity: `system.book.broken` lists both.
+"""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import anyio
+import pytest
+from tests.host.load import Load, under_load
+
+from brasstray.batch.outcome import BatchOutcome, GiveUpReason
+from brasstray_standins.leased_minion import Work
+from brasstray_standins.pool_system import (
+    USUAL_NEEDS,
+    PoolSystemSize,
+    usual_batch,
+)
+
+SECOND = timedelta(seconds=1)
+
+
+def ms(count):
+    return timedelta(milliseconds=count)
+
+
+def test_a_calm_system_serves_every_job_in_time(play_pools):
+    async def story(system):
+        async def nothing():
+            return None
+
+        return await under_load(system, nothing)
+
+    load, system = play_pools(story)
+    assert load.outcomes() == [BatchOutcome.SUCCEEDED] * 100
+    assert max(took for _, _, took in load.results.values()) < ms(150)
+    assert system.book.broken == []
+    assert len(system.book.starts) == 300
+
+
+@pytest.mark.parametrize("fate", ["killed", "frozen", "cut off", "drained", "revoked"])
+def test_the_owner_of_a_pool_goes_away(play_pools, fate):
+    # An auditor's draw is at work when the host that orders the minions of her data
+    # centre dies, stands still, is cut off or leaves. Another host takes the pool over;
+    # runs go on under its lease and her job is answered as if nothing had been.
+    async def story(system):
+        async def strike():
+            name = system.owner()
+            if fate == "killed":
+                system.kill(name)
+            elif fate == "frozen":
+                system.hosts[name].gate.close()
+                await system.clock.sleep(3 * SECOND)
+                system.hosts[name].gate.open()
+            elif fate == "cut off":
+                system.network.cut({name: 1})
+                system.store.cut.add(name)
+                await system.clock.sleep(3 * SECOND)
+                system.network.cut({})
+                system.store.cut.clear()
+            elif fate == "drained":
+                system.hosts[name].host.drain()
+            else:
+                system.store.remove("brasstray/pools/dc0")
+
+        name = system.owner()
+        return name, await under_load(system, strike)
+
+    (struck, load), system = play_pools(story)
+    elsewhere = [
+        result.outcome for name, result, _ in load.results.values() if name != struck
+    ]
+    assert system.book.broken == []
+    assert elsewhere.count(BatchOutcome.SUCCEEDED) == len(elsewhere)
+    if fate in ("drained", "revoked"):
+        assert load.succeeded == 100
+
+
+def test_a_killed_owner_costs_its_data_centre_less_than_a_second(play_pools):
+    # The host that orders the minions is killed under load. Callers at the other hosts
+    # of its data centre wait a little longer for a short while.
+    async def story(system):
+        async def strike():
+            system.kill(system.owner())
+
+        return await under_load(system, strike)
+
+    load, _ = play_pools(story)
+    assert max(took for _, _, took in load.results.values()) < SECOND
+
+
+def test_a_cut_off_data_centre_serves_its_own_callers(play_pools):
+    # The lines of one data centre fail: its hosts reach neither the store nor the
+    # others. Its managers are served by its own minions all the while.
+    async def story(system):
+        inside = {f"dc0-h{n}": 1 for n in range(3)}
+
+        async def strike():
+            system.network.cut(inside)
+            system.store.cut.update(inside)
+            await system.clock.sleep(2 * SECOND)
+            system.network.cut({})
+            system.store.cut.clear()
+
+        return await under_load(system, strike)
+
+    load, system = play_pools(story)
+    assert system.book.broken == []
+    assert load.succeeded >= 97
+
+
+@pytest.mark.parametrize("seconds", [1, 4])
+def test_the_store_is_away(play_pools, seconds):
+    # The platform's store answers nobody for seconds. Owners go on under their tokens,
+    # since no minion has seen a higher one, and no caller notices.
+    async def story(system):
+        async def strike():
+            system.store.down = True
+            await system.clock.sleep(seconds * SECOND)
+            system.store.down = False
+
+        return await under_load(system, strike, jobs=150)
+
+    load, system = play_pools(story)
+    assert load.succeeded == 150
+    assert system.book.broken == []
+
+
+def test_the_host_that_a_job_came_to_dies_and_the_job_is_sent_again(play_pools):
+    # A manager's request breaks off as her entry host is killed. Her client sends it
+    # again 1.3 s later to another host. By then nothing of the first try may be at
+    # work, or her leave would be deducted by two runs at once.
+    async def story(system):
+        system.book.usual = Work(USUAL_NEEDS, ms(2_500))
+        name = system.other()
+        async with anyio.create_task_group() as group:
+            load = Load(system, group)
+            group.start_soon(load.submit, "a" * 16, name)
+            await system.clock.sleep(ms(300))
+            system.kill(name)
+            await system.clock.sleep(ms(1_250))
+            at_work = [m.running for m in system.places.values() if m.running]
+            return at_work
+
+    at_work, system = play_pools(story)
+    assert at_work == []
+    assert len(system.book.starts) == 3
+
+
+def test_a_frozen_host_wakes_and_its_callers_are_told_the_truth(play_pools):
+    # A host stands still for three seconds with jobs at work. The pool has stopped
+    # their tasks meanwhile. When it wakes, it must not start them again beside those
+    # that the clients have sent elsewhere, nor say that they did not run.
+    async def story(system):
+        system.book.usual = Work(USUAL_NEEDS, ms(900))
+        name = system.other()
+        gate = system.hosts[name].gate
+        async with anyio.create_task_group() as group:
+            load = Load(system, group)
+            group.start_soon(load.submit, "b" * 16, name)
+            await system.clock.sleep(ms(200))
+            gate.close()
+            await system.clock.sleep(ms(1_500))
+            again = system.owner()
+            group.start_soon(load.submit, "b" * 16, again)
+            await system.clock.sleep(ms(1_500))
+            gate.open()
+        return load
+
+    load, system = play_pools(story)
+    assert system.book.broken == []
+
+
+@pytest.mark.parametrize(
+    ("what", "count"),
+    [("swallowed", 1), ("swallowed", 5), ("late", 1), ("late", 6)],
+)
+def test_answers_of_minions_are_lost_or_orders_come_late(play_pools, what, count):
+    # A minion does not answer a start. It has begun the task, or begins it seconds
+    # later, when the same task has long run elsewhere: it must be stopped, or be
+    # refused when it comes, before the task is started again.
+    async def story(system):
+        async def strike():
+            for running in system.hosts.values():
+                setattr(running.calls, what, count)
+            await system.clock.sleep(5 * SECOND)
+
+        return await under_load(system, strike)
+
+    load, system = play_pools(story)
+    assert system.book.broken == []
+    assert load.succeeded == 100
+
+
+@pytest.mark.parametrize("fate", ["crashed", "cut off", "stuck", "slow", "failing"])
+def test_a_minion_goes_wrong(play_pools, fate):
+    # One of four minions dies, is cut off, stands still, turns slow or fails all that
+    # it starts. Its tasks are run elsewhere once it is certain that they do not go on,
+    # and it gets no more until it has shown that it works.
+    async def story(system):
+        async def strike():
+            minion = system.places["dc0-m1"]
+            if fate == "crashed":
+                minion.crash()
+            elif fate == "cut off":
+                for running in system.hosts.values():
+                    running.calls.cut.add(minion.entry.id)
+                await system.clock.sleep(2 * SECOND)
+                for running in system.hosts.values():
+                    running.calls.cut.clear()
+            elif fate == "stuck":
+                minion.stuck = True
+            elif fate == "slow":
+                minion.slowness = 8.0
+            else:
+                minion.failing = True
+
+        return await under_load(system, strike)
+
+    load, system = play_pools(story)
+    assert system.book.broken == []
+    assert load.succeeded >= 99
+    late = sum(took > ms(400) for _, _, took in load.results.values())
+    assert late <= 8
+
+
+def test_a_job_that_fails_everywhere_is_told_as_failed(play_pools):
+    # An auditor submits a draw that can never be done. She is told so after its
+    # attempts, and the minions that failed it are not suspected for one bad job.
+    async def story(system):
+        system.book.usual = Work(USUAL_NEEDS, ms(60), fails=True)
+        result = await system.submit(system.other(), usual_batch("c" * 16, 1))
+        owner = system.hosts[system.owner()].host.owner
+        return result, [m.health.suspected for m in owner.minions]
+
+    (result, suspected), system = play_pools(story)
+    assert result.outcome is BatchOutcome.FAILED
+    assert result.reason is GiveUpReason.TASK_FAILED
+    assert len(system.book.starts) == 3
+    assert not any(suspected)
+
+
+def test_the_caller_hangs_up(play_pools):
+    # A manager closes her browser. Nobody wants the result: waiting tasks are dropped
+    # and active ones are stopped, so that the room serves others.
+    async def story(system):
+        system.book.usual = Work(USUAL_NEEDS, ms(2_000))
+        async with anyio.create_task_group() as group:
+            load = Load(system, group)
+            group.start_soon(load.submit, "d" * 16, system.other())
+            await system.clock.sleep(ms(200))
+            group.cancel_scope.cancel()
+        await system.clock.sleep(ms(100))
+        return [m.running for m in system.places.values() if m.running]
+
+    at_work, _ = play_pools(story)
+    assert at_work == []
+
+
+def test_wide_jobs_spill_to_the_other_data_centre(play_pools):
+    # A job is wider than its data centre has room for: the rest of its tasks go to
+    # another one that has, instead of waiting for a second round.
+    async def story(system):
+        result = await system.submit(system.other(), usual_batch("e" * 16, 14))
+        return result, {m.entry.data_centre for m in system.places.values()}
+
+    (result, _), system = play_pools(story)
+    assert result.outcome is BatchOutcome.SUCCEEDED
+    assert system.book.broken == []
+    assert len(system.book.starts) == 14
+
+
+def test_a_job_that_cannot_be_in_time_is_refused_as_not_run(play_pools):
+    # Minions are full of long tasks. A caller with little patience is told at once
+    # when to come back, and that nothing has run: waiting would help nobody.
+    size = PoolSystemSize(data_centres=1, minions_each=1)
+
+    async def story(system):
+        system.book.usual = Work(USUAL_NEEDS, ms(2_000))
+        async with anyio.create_task_group() as group:
+            load = Load(system, group)
+            group.start_soon(load.submit, "f" * 16, system.other())
+            await system.clock.sleep(ms(100))
+            began = system.clock.monotonic()
+            result = await system.submit(
+                system.other(), usual_batch("0" * 16, 4), ms(200)
+            )
+            took = system.clock.monotonic() - began
+            group.cancel_scope.cancel()
+        return result, took
+
+    (result, took), system = play_pools(story, size)
+    assert result.outcome is BatchOutcome.NOT_RUN
+    assert result.reason is GiveUpReason.OVERLOADED
+    assert result.retry_after >= SECOND
+    assert took < ms(200)
+    assert not any(name.batch == "0" * 16 for name in system.book.starts)
+
+
+def test_a_draining_minion_gets_nothing_new(play_pools):
+    # A minion is to be taken away. Once its entry says so, it gets no more tasks.
+    async def story(system):
+        from dataclasses import replace
+
+        async def strike():
+            place = system.places["dc0-m1"]
+            index = system.listed.index(place.entry)
+            system.listed[index] = replace(place.entry, draining=True)
+            await system.clock.sleep(SECOND)
+            system.book.usual = Work(USUAL_NEEDS, ms(60))
+            before = len(system.book.starts)
+            drained = [len(place.running)]
+            for _ in range(20):
+                await system.clock.sleep(ms(50))
+                drained.append(len(place.running))
+            return before, drained
+
+        seen = []
+
+        async def keep():
+            seen.append(await strike())
+
+        load = await under_load(system, keep)
+        return load, seen[0][1]
+
+    (load, drained), _ = play_pools(story)
+    assert load.succeeded == 100
+    assert not any(drained)
+
+
+def test_a_newer_configuration_reaches_a_host_without_the_store(play_pools):
+    # One host cannot reach the store when the operator changes the configuration. It
+    # hears of it from the owner of its pool, and never goes back to the older one.
+    async def story(system):
+        name = system.other()
+        system.store.cut.add(name)
+        system.set_config(7)
+        await system.clock.sleep(SECOND)
+        versions = [r.host.config.version for r in system.hosts.values()]
+        system.store.put("config", b'{"version": 5}')
+        await system.clock.sleep(SECOND)
+        return versions, [r.host.config.version for r in system.hosts.values()]
+
+    (first, second), _ = play_pools(story)
+    assert first == [7] * 6
+    assert second == [7] * 6
+
+
+def test_every_host_is_killed_and_started_again(play_pools):
+    # All processes die at once; the store still names the old owners. The new ones take
+    # their pools over without waiting for anything to run out.
+    async def story(system):
+        for name in list(system.hosts):
+            system.kill(name)
+        system.start_all()
+        await system.clock.sleep(ms(700))
+        return await system.submit(system.other(), usual_batch("9" * 16))
+
+    result, system = play_pools(story)
+    assert result.outcome is BatchOutcome.SUCCEEDED
+    assert system.book.broken == []
