Never say that a job has not run once one of its tasks was sent

Cause: a task begun at one pool, stopped and forwarded to another that gave it back was refused as not run, as each pool remembered its own starts only. Seen as a started task of a rejected job under restarts of stragglers. Change: whether a task may have been sent travels with requests and returns; a claim counts as begun. A straggler is judged against its siblings elsewhere and once a task, as the restarts themselves came from a wrong estimate, not from a slow minion. Ruled out: a lost stop, since the minions list every run as stopped. Test: the coordinator's table of refusals, failing before.

--- a/src/brasstray/coordinator/active_batch.py
+++ b/src/brasstray/coordinator/active_batch.py
@@ -21,7 +21,8 @@
     """Hold where each task that has not ended is, and the result once there is one.
 
     `placed` maps step and index to the pool that was last asked to run the task.
-    `waiters` counts the callers that wait; the same job may have been sent twice.
+    `begun` tells whether a task may have been sent to a minion, which a refusal must
+    know. `waiters` counts the callers that wait; the same job may have been sent twice.
     """
 
     batch: Batch
@@ -33,6 +34,7 @@
     steps_left: dict[int, int] = field(default_factory=dict)
     steps_sent: set[int] = field(default_factory=set)
     any_done: bool = False
+    begun: bool = False
     waiters: int = 0
     ended: anyio.Event = field(default_factory=anyio.Event)
     result: BatchResult | None = None
--- a/src/brasstray/coordinator/coordinator.py
+++ b/src/brasstray/coordinator/coordinator.py
@@ -171,6 +171,7 @@
             max_per_minion=step.max_per_minion,
             forwarded=forwarded,
             claimed=claimed,
+            begun=active.begun,
         )
         self._pools.tell(pool, message)
 
@@ -187,7 +188,7 @@
             return
         for index in message.done:
             if active.placed.pop((message.step, index), None) is not None:
-                active.any_done = True
+                active.any_done = active.begun = True
                 active.steps_left[message.step] -= 1
         if not any(active.steps_left.values()):
             self._end(active, BatchResult(BatchOutcome.SUCCEEDED))
@@ -206,6 +207,7 @@
         ]
         if not indices:
             return
+        active.begun |= message.begun
         if message.in_doubt:
             self._end(active, BatchResult(BatchOutcome.UNKNOWN, GiveUpReason.POOL_LOST))
         elif message.pool is None:
@@ -217,7 +219,7 @@
             self._send(active, message.step, indices, target, forwarded=True)
 
     def _refuse(self, active: ActiveBatch, returned: int, wait_ms: int) -> None:
-        whole = len(active.placed) == returned and not active.any_done
+        whole = len(active.placed) == returned and not active.begun
         outcome = BatchOutcome.NOT_RUN if whole else BatchOutcome.UNKNOWN
         wait = max(self._timing.retry_after, wait_ms * _MILLISECOND)
         self._end(active, BatchResult(outcome, GiveUpReason.OVERLOADED, wait))
@@ -227,6 +229,7 @@
         self._lost_since.pop(pool, None)
         for active in list(self._active.values()):
             for number, indices in active.at(pool).items():
+                active.begun = True
                 self._events.claimed(active, len(indices), pool)
                 self._send(active, number, indices, pool, claimed=True)
 
--- a/src/brasstray/peer/message/run_tasks.py
+++ b/src/brasstray/peer/message/run_tasks.py
@@ -14,7 +14,8 @@
 
     `due_ms` and `limit_ms` count from the sending: when the job's objective ends, and
     when its caller leaves. `claimed` says that an owner of this pool was asked before,
-    so that the tasks may run already; `forwarded` that another pool had no room.
+    so that the tasks may run already; `forwarded` that another pool had no room, and
+    `begun` that a task of the job may have been sent to a minion before.
     """
 
     kind: Literal["run_tasks"] = "run_tasks"
@@ -38,6 +39,7 @@
     max_per_minion: int = 0
     forwarded: bool = False
     claimed: bool = False
+    begun: bool = False
 
 
 __all__ = ["RunTasks"]
--- a/src/brasstray/peer/message/tasks_returned.py
+++ b/src/brasstray/peer/message/tasks_returned.py
@@ -12,7 +12,8 @@
     """Give tasks back that were not started, and name a pool that has room.
 
     Without a pool, the tasks cannot be run before their caller leaves; a new job would
-    wait for `wait_ms`. `in_doubt` says that they may run somewhere out of reach.
+    wait for `wait_ms`. `begun` says that a task of the step was sent to a minion
+    before, whatever became of it; `in_doubt` that they may run out of reach.
     """
 
     kind: Literal["tasks_returned"] = "tasks_returned"
@@ -21,6 +22,7 @@
     indices: tuple[int, ...]
     pool: PoolId | None = None
     wait_ms: int = 0
+    begun: bool = False
     in_doubt: bool = False
 
 
--- a/src/brasstray/pool/minion.py
+++ b/src/brasstray/pool/minion.py
@@ -16,6 +16,7 @@
     from brasstray.batch.task_name import TaskName
     from brasstray.pool.minion_entry import MinionEntry
     from brasstray.pool.run_record import RunRecord
+    from brasstray.pool.step_tasks import StepTasks
 
 
 class Reach(Enum):
@@ -58,6 +59,13 @@
             for record in self.runs.values()
         )
 
+    def has_task_of(self, step: StepTasks) -> bool:
+        """Tell whether a wanted task of `step` is here."""
+        return any(
+            record.task is not None and record.task.of is step
+            for record in self.runs.values()
+        )
+
     def add(self, record: RunRecord) -> None:
         """Count `record` against the room."""
         self.runs[record.name, record.run] = record
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -24,7 +24,7 @@
 from brasstray.pool.pool_task import PoolTask, TaskPhase
 from brasstray.pool.run_record import RunRecord, RunState
 from brasstray.pool.step_tasks import StepTasks
-from brasstray.pool.straggling import straggles
+from brasstray.pool.straggling import SIBLINGS_PATIENCE, pace, straggles
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -389,7 +389,13 @@
         self._events.forwarded(step, count, pool)
         indices = tuple(task.name.index for task in tasks)
         step.requester.tell(
-            TasksReturned(batch=step.batch, step=step.step, indices=indices, pool=pool)
+            TasksReturned(
+                batch=step.batch,
+                step=step.step,
+                indices=indices,
+                pool=pool,
+                begun=step.begun,
+            )
         )
         self._forget_if_empty(step)
 
@@ -405,7 +411,11 @@
             del step.tasks[index]
         step.requester.tell(
             TasksReturned(
-                batch=step.batch, step=step.step, indices=indices, wait_ms=wait_ms
+                batch=step.batch,
+                step=step.step,
+                indices=indices,
+                wait_ms=wait_ms,
+                begun=step.begun,
             )
         )
         self._forget_if_empty(step)
@@ -477,18 +487,33 @@
             record.state = RunState.ACTIVE
 
     def _judge_pace(self, minion: Minion, record: RunRecord, now: timedelta) -> None:
-        if record.task is None or record.state is not RunState.ACTIVE:
+        task = record.task
+        if task is None or record.state is not RunState.ACTIVE or not record.expected:
             return
-        if record.straggles or not straggles(record, now):
+        step, where = task.of, minion.entry.id
+        siblings = step.pace_elsewhere(where)
+        step.paces[where] = pace(record, now)
+        if siblings is None and self._siblings_untold(record, now):
             return
-        record.straggles = True
+        # A task is restarted for its pace once only: if it is as slow elsewhere, it is
+        # the task that is long and not the minions that are slow.
+        if task.straggled or not straggles(record, now, siblings):
+            return
+        task.straggled = True
         if not minion.health.suspected:
             minion.health.suspend(now)
             self._events.suspected(minion, Evidence.STRAGGLING)
         # The run is stopped, and its task waits until the end is listed: two runs of
         # it must never be at work at the same time.
-        record.task.avoided.add(minion.entry.id)
-        self._sessions[minion.entry.id].stop(record)
+        task.avoided.add(where)
+        self._sessions[where].stop(record)
+
+    def _siblings_untold(self, record: RunRecord, now: timedelta) -> bool:
+        """Tell whether tasks of the same step elsewhere will soon show their pace."""
+        if now - record.began > SIBLINGS_PATIENCE:
+            return False
+        assert record.task is not None
+        return sum(m.has_task_of(record.task.of) for m in self.minions) > 1
 
     def _end(self, minion: Minion, record: RunRecord, end: RunEnd) -> None:
         minion.remove(record)
@@ -503,9 +528,9 @@
         step = task.of
         if end is RunEnd.DONE:
             if record.expected:
-                self._durations.learn(
-                    step, minion.entry.id, record.expected, now - record.began
-                )
+                took = now - record.began
+                step.paces[minion.entry.id] = took / record.expected
+                self._durations.learn(step, minion.entry.id, record.expected, took)
             self._finish(task, done=True)
         elif end is RunEnd.FAILED:
             self._fail(minion, task, now)
@@ -623,6 +648,7 @@
         forwarded=message.forwarded,
         queue=message.queue,
         width=message.width,
+        begun=message.begun or message.claimed,
     )
 
 
--- a/src/brasstray/pool/pool_task.py
+++ b/src/brasstray/pool/pool_task.py
@@ -34,6 +34,7 @@
     phase: TaskPhase
     last_run: RunNumber
     failures: int = 0
+    straggled: bool = False
     avoided: set[MinionId] = field(default_factory=set)
 
 
--- a/src/brasstray/pool/run_record.py
+++ b/src/brasstray/pool/run_record.py
@@ -43,7 +43,6 @@
     state: RunState
     task: PoolTask | None
     percent: int = 0
-    straggles: bool = False
 
 
 __all__ = ["RunRecord", "RunState"]
--- a/src/brasstray/pool/step_tasks.py
+++ b/src/brasstray/pool/step_tasks.py
@@ -10,7 +10,7 @@
 
     from brasstray.batch.ids import BatchId
     from brasstray.batch.resources import Resources
-    from brasstray.job.ids import ServiceName
+    from brasstray.job.ids import MinionId, ServiceName
     from brasstray.pool.pool_task import PoolTask
     from brasstray.pool.requester import Requester
 
@@ -21,6 +21,7 @@
 
     `due` is when the job's objective ends and `limit` when its caller leaves, both on
     the steady clock. `forwarded` marks tasks that came from another pool and stay here.
+    `paces` holds, by minion, actual over expected durations of the tasks seen there.
     """
 
     batch: BatchId
@@ -42,8 +43,14 @@
     queue: str
     width: int
     begun: bool = False
+    paces: dict[MinionId, float] = field(default_factory=dict)
     tasks: dict[int, PoolTask] = field(default_factory=dict)
     waiting: list[PoolTask] = field(default_factory=list)
 
+    def pace_elsewhere(self, minion: MinionId) -> float | None:
+        """Return the best pace of tasks on other minions, if any was seen."""
+        others = [ratio for where, ratio in self.paces.items() if where != minion]
+        return min(others, default=None)
+
 
 __all__ = ["StepTasks"]
--- a/src/brasstray/pool/straggling.py
+++ b/src/brasstray/pool/straggling.py
@@ -9,24 +9,46 @@
     from brasstray.pool.run_record import RunRecord
 
 # Callers' estimates are off by a factor of about 1.5 either way (standard deviation of
-# the logarithm 0.4) and sound minions differ by 1.6. Three times what was expected is
-# beyond both together for all but one run in a hundred.
-SLOWEST_SOUND_RATIO = 3.0
+# the logarithm 0.4) and sound minions differ by 1.6. Four times what was expected is
+# beyond both together for all but a few runs in a thousand.
+SLOWEST_SOUND_RATIO = 4.0
+# Tasks of one step share the error of their estimate and differ by a sixth among
+# themselves, so against their pace elsewhere half of that will do.
+SLOWEST_SOUND_TO_SIBLINGS = 2.2
 # Below this the start's own delay is most of what is seen.
 SHORTEST_EVIDENCE = timedelta(milliseconds=120)
-# A run that has done this share is left to end: starting it again costs more.
-FAR_ENOUGH_PERCENT = 70
+# Minions are looked at every 150 ms, so siblings have shown their pace by then.
+SIBLINGS_PATIENCE = timedelta(milliseconds=350)
+# A restart must save this much: the run's remaining time against a whole new run.
+LEAST_GAIN = 1.2
 
 
-def straggles(record: RunRecord, now: timedelta) -> bool:
-    """Tell whether `record` will take far longer than its kind does."""
+def straggles(record: RunRecord, now: timedelta, siblings: float | None) -> bool:
+    """Tell whether `record` will take far longer than its kind, and a restart helps.
+
+    `siblings` is the ratio of actual to expected durations of tasks of the same step
+    on other minions, if any is known.
+    """
     elapsed = now - record.began
     if not record.expected or elapsed < SHORTEST_EVIDENCE:
         return False
-    if elapsed < record.expected / 4 or record.percent >= FAR_ENOUGH_PERCENT:
+    ratio = pace(record, now)
+    if siblings is None:
+        if ratio <= SLOWEST_SOUND_RATIO:
+            return False
+    elif ratio <= siblings * SLOWEST_SOUND_TO_SIBLINGS:
         return False
-    whole = elapsed * 100 / max(record.percent, 1)
-    return whole > record.expected * SLOWEST_SOUND_RATIO
+    remaining = record.expected * ratio - elapsed
+    return remaining > record.expected * (siblings or 1.0) * LEAST_GAIN
+
+
+def pace(record: RunRecord, now: timedelta) -> float:
+    """Return how long `record` will take at least, in multiples of what was expected.
+
+    Progress is told in whole percents, rounded down, so up to one more may be done.
+    """
+    whole = (now - record.began) * 100 / (record.percent + 1)
+    return whole / record.expected
 
 
-__all__ = ["straggles"]
+__all__ = ["SIBLINGS_PATIENCE", "pace", "straggles"]
--- /dev/null
+++ b/tests/coordinator/test_coordinator.py
@@ -0,0 +1,233 @@
+"""Check what a coordinator asks of pools and what it tells callers."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from datetime import timedelta
+
+import anyio
+import pytest
+from tests.conftest import run_virtual
+
+from brasstray.batch.batch import Batch
+from brasstray.batch.ids import BatchId, PoolId
+from brasstray.batch.outcome import BatchOutcome, GiveUpReason
+from brasstray.batch.resources import Resources
+from brasstray.batch.step import Step
+from brasstray.clock.loop import LoopClock
+from brasstray.coordinator.coordinator import Coordinator, chain_of
+from brasstray.coordinator.timing import CoordinatorTiming
+from brasstray.peer.message.run_tasks import RunTasks
+from brasstray.peer.message.stop_tasks import StopTasks
+from brasstray.peer.message.tasks_ended import TasksEnded
+from brasstray.peer.message.tasks_returned import TasksReturned
+from brasstray.pool.pool_load import PoolLoad
+from brasstray_standins.pool_system import usual_batch, usual_queue
+
+HOME, AWAY = PoolId("home"), PoolId("away")
+JOB = BatchId("a" * 16)
+PATIENCE = timedelta(seconds=2)
+
+
+@dataclass
+class FakePools:
+    loads: dict[PoolId, PoolLoad] = field(
+        default_factory=lambda: {HOME: PoolLoad(4), AWAY: PoolLoad(4)}
+    )
+    told: list = field(default_factory=list)
+
+    def reachable(self):
+        return dict(self.loads)
+
+    def tell(self, pool, message):
+        self.told.append((pool, message))
+
+    def runs(self):
+        return [(p, m) for p, m in self.told if isinstance(m, RunTasks)]
+
+    def stops(self):
+        return [p for p, m in self.told if isinstance(m, StopTasks)]
+
+
+class Silent:
+    def __getattr__(self, name):
+        return lambda *_, **__: None
+
+
+def with_coordinator(steps, batch=None, loads=None):
+    """Return the result of a job while `steps` plays what the pools tell."""
+
+    async def whole():
+        pools = FakePools()
+        if loads is not None:
+            pools.loads = loads
+        coordinator = Coordinator(
+            HOME, pools, LoopClock(), CoordinatorTiming(), Silent()
+        )
+        results = []
+
+        async def run():
+            found = await coordinator.run(
+                batch or usual_batch(JOB, 2), usual_queue(), PATIENCE
+            )
+            results.append((found, anyio.current_time() - began))
+
+        began = anyio.current_time()
+        async with anyio.create_task_group() as group:
+            group.start_soon(coordinator.watch)
+            group.start_soon(run)
+            await anyio.sleep(0.01)
+            outcome = steps(coordinator, pools)
+            if outcome is not None:
+                await outcome
+            while not results:
+                await anyio.sleep(0.01)
+            group.cancel_scope.cancel()
+        return results[0][0], results[0][1], pools
+
+    return run_virtual(whole)
+
+
+def ended(*done, failed=(), step=0):
+    return TasksEnded(batch=JOB, step=step, done=done, failed=failed)
+
+
+def returned(*indices, pool=None, **more):
+    return TasksReturned(batch=JOB, step=0, indices=indices, pool=pool, **more)
+
+
+def test_a_job_succeeds_once_all_tasks_are_done():
+    def steps(coordinator, pools):
+        coordinator.take_ended(HOME, ended(0))
+        coordinator.take_ended(HOME, ended(1))
+
+    result, _, pools = with_coordinator(steps)
+    assert result.outcome is BatchOutcome.SUCCEEDED
+    assert [pool for pool, _ in pools.runs()] == [HOME]
+    assert pools.stops() == []
+
+
+def test_a_failed_task_ends_the_job_and_stops_the_others():
+    def steps(coordinator, pools):
+        coordinator.take_ended(HOME, ended(failed=(0,)))
+
+    result, _, pools = with_coordinator(steps)
+    assert result.outcome is BatchOutcome.FAILED
+    assert pools.stops() == [HOME]
+
+
+@pytest.mark.parametrize(
+    ("told", "outcome"),
+    [
+        # Nothing was ever sent to a minion.
+        ([returned(0, 1, wait_ms=2_500)], BatchOutcome.NOT_RUN),
+        # One task is done, so the job has run in part.
+        ([ended(0), returned(1, wait_ms=2_500)], BatchOutcome.UNKNOWN),
+        # The other task is still at the pool, and may be at work.
+        ([returned(1, wait_ms=2_500)], BatchOutcome.UNKNOWN),
+        # A run had begun and was stopped before the task was given back.
+        ([returned(0, 1, wait_ms=2_500, begun=True)], BatchOutcome.UNKNOWN),
+        # Nobody can tell whether the tasks are at work.
+        ([returned(0, 1, in_doubt=True)], BatchOutcome.UNKNOWN),
+    ],
+)
+def test_a_job_is_said_not_to_have_run_only_if_it_has_not(told, outcome):
+    def steps(coordinator, pools):
+        for message in told:
+            if isinstance(message, TasksEnded):
+                coordinator.take_ended(HOME, message)
+            else:
+                coordinator.take_returned(HOME, message)
+
+    result, _, _ = with_coordinator(steps)
+    assert result.outcome is outcome
+
+
+def test_a_job_that_had_begun_elsewhere_is_not_said_not_to_have_run():
+    # A task begins at the home pool on a minion that stands still. It is stopped and
+    # goes to another pool, which is full and gives it back. The caller is told that
+    # nothing ran, though a run had begun: she would submit it as new elsewhere.
+    def steps(coordinator, pools):
+        coordinator.take_returned(HOME, returned(0, 1, pool=AWAY, begun=True))
+        coordinator.take_returned(AWAY, returned(0, 1, wait_ms=900))
+
+    result, _, pools = with_coordinator(steps)
+    assert result.outcome is BatchOutcome.UNKNOWN
+    assert pools.runs()[-1][1].begun
+
+
+def test_a_claim_counts_as_begun():
+    # The owner of a pool dies with tasks of a job; its successor knows nothing of them
+    # and gives them back. The dead owner may have started them.
+    def steps(coordinator, pools):
+        coordinator.claim(HOME)
+        coordinator.take_returned(HOME, returned(0, 1, wait_ms=900))
+
+    result, _, pools = with_coordinator(steps)
+    assert result.outcome is BatchOutcome.UNKNOWN
+    assert pools.runs()[-1][1].claimed
+
+
+def test_returned_tasks_go_to_the_pool_that_has_room():
+    def steps(coordinator, pools):
+        coordinator.take_returned(HOME, returned(1, pool=AWAY))
+        coordinator.take_ended(HOME, ended(0))
+        coordinator.take_ended(AWAY, ended(1))
+
+    result, _, pools = with_coordinator(steps)
+    assert result.outcome is BatchOutcome.SUCCEEDED
+    sent = [(pool, m.indices, m.forwarded) for pool, m in pools.runs()]
+    assert sent == [(HOME, (0, 1), False), (AWAY, (1,), True)]
+
+
+def test_tasks_at_a_pool_out_of_reach_are_given_up_after_a_while():
+    # The lines to a data centre fail while it runs tasks of a job. They may go on
+    # there, so they are not started elsewhere; the caller is told soon enough to ask
+    # again, and not that nothing has run.
+    def steps(coordinator, pools):
+        del pools.loads[HOME]
+
+    result, took, _ = with_coordinator(steps)
+    assert result.outcome is BatchOutcome.UNKNOWN
+    assert result.reason is GiveUpReason.POOL_LOST
+    assert 0.85 < took < 1.1
+
+
+def test_without_any_pool_the_caller_is_told_when_to_come_back():
+    result, took, pools = with_coordinator(lambda *_: None, loads={})
+    assert result.outcome is BatchOutcome.NOT_RUN
+    assert result.reason is GiveUpReason.NO_POOL
+    assert result.retry_after == CoordinatorTiming().retry_after
+    assert took < 0.4
+    assert pools.told == []
+
+
+def test_a_later_step_waits_for_those_before_it():
+    needs = Resources(1_000)
+    batch = Batch(
+        JOB,
+        "",
+        (
+            Step(2, needs, timedelta(milliseconds=50)),
+            Step(1, needs, timedelta(milliseconds=70), after=(0,)),
+        ),
+    )
+
+    def steps(coordinator, pools):
+        coordinator.take_ended(HOME, ended(0))
+        assert [m.step for _, m in pools.runs()] == [0]
+        coordinator.take_ended(HOME, ended(1))
+        assert [m.step for _, m in pools.runs()] == [0, 1]
+        coordinator.take_ended(HOME, ended(0, step=1))
+
+    result, _, _ = with_coordinator(steps, batch)
+    assert result.outcome is BatchOutcome.SUCCEEDED
+    assert chain_of(batch) == timedelta(milliseconds=120)
+
+
+def test_the_deadline_ends_a_job_whose_tasks_do_not():
+    result, took, pools = with_coordinator(lambda *_: None)
+    assert result.outcome is BatchOutcome.UNKNOWN
+    assert result.reason is GiveUpReason.TOO_LATE
+    assert 1.9 < took < 2.1
+    assert pools.stops() == [HOME]
--- a/tests/host/test_pool_failures.py
+++ b/tests/host/test_pool_failures.py
@@ -142,8 +142,7 @@
             await system.clock.sleep(ms(300))
             system.kill(name)
             await system.clock.sleep(ms(1_250))
-            at_work = [m.running for m in system.places.values() if m.running]
-            return at_work
+            return [m.running for m in system.places.values() if m.running]
 
     at_work, system = play_pools(story)
     assert at_work == []
