--- a/src/brasstray/coordinator/active_batch.py
+++ b/src/brasstray/coordinator/active_batch.py
@@ -29,6 +29,7 @@
     queue: Queue
     arrived: timedelta
     due: timedelta
+    useful: timedelta
     limit: timedelta
     placed: dict[tuple[int, int], PoolId] = field(default_factory=dict)
     steps_left: dict[int, int] = field(default_factory=dict)
--- a/src/brasstray/coordinator/coordinator.py
+++ b/src/brasstray/coordinator/coordinator.py
@@ -26,6 +26,8 @@
     from brasstray.peer.message.tasks_returned import TasksReturned
 
 _MILLISECOND = timedelta(milliseconds=1)
+# A late answer is of some use to the users until three times the objective has passed.
+USEFUL_OBJECTIVES = 3
 
 
 class Coordinator:
@@ -96,6 +98,7 @@
             queue,
             now,
             now + objective,
+            now + objective * USEFUL_OBJECTIVES,
             now + patience,
             steps_left={n: step.count for n, step in enumerate(batch.steps)},
         )
@@ -163,6 +166,7 @@
             gpus=step.needs.gpus,
             estimate_ms=max(1, step.estimate // _MILLISECOND),
             due_ms=(active.due - now) // _MILLISECOND,
+            useful_ms=(active.useful - now) // _MILLISECOND,
             limit_ms=(active.limit - now) // _MILLISECOND,
             priority=queue.priority,
             attempts=queue.attempts,
--- a/src/brasstray/peer/message/run_tasks.py
+++ b/src/brasstray/peer/message/run_tasks.py
@@ -12,8 +12,8 @@
 class RunTasks(PeerMessage):
     """Ask the owner of a pool to run some tasks of one step of a job.
 
-    `due_ms` and `limit_ms` count from the sending: when the job's objective ends, and
-    when its caller leaves. `claimed` says that an owner of this pool was asked before,
+    `due_ms`, `useful_ms` and `limit_ms` count from the sending: when the job's objective
+    ends, until when a late answer is of some use, and when its caller leaves. `claimed` says that an owner of this pool was asked before,
     so that the tasks may run already; `forwarded` that another pool had no room, and
     `begun` that a task of the job may have been sent to a minion before.
     """
@@ -31,6 +31,7 @@
     gpus: int
     estimate_ms: int
     due_ms: int
+    useful_ms: int
     limit_ms: int
     priority: int
     attempts: int
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -639,6 +639,7 @@
         estimate=max(1, message.estimate_ms) * _MILLISECOND,
         arrived=now,
         due=now + message.due_ms * _MILLISECOND,
+        useful=now + message.useful_ms * _MILLISECOND,
         limit=now + message.limit_ms * _MILLISECOND,
         priority=message.priority,
         attempts=message.attempts,
--- a/src/brasstray/pool/placement.py
+++ b/src/brasstray/pool/placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import IntEnum
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -18,20 +19,31 @@
 FIT_WEIGHT = 0.3
 
 
+class Rank(IntEnum):
+    """Tell what a step can still be of use for, the best first."""
+
+    ON_TIME = 0
+    LATE = 1
+    STALE = 2
+
+
 def urgency(
     step: StepTasks, expected: timedelta, now: timedelta
-) -> tuple[bool, bool, float]:
+) -> tuple[Rank, bool, float]:
     """Return what steps are sorted by, the most urgent first.
 
-    Steps that can still meet their objective go by the latest moment at which they can
-    start and do so: short jobs have little time to spare, long ones gain urgency as
-    they wait. Steps that are late already go after these, begun ones first and then
-    the shortest, so that one late job does not make the next one late as well.
+    Steps that can still meet their objective come first, those with tasks at work
+    before new ones, as part of a job is no answer. They go by the latest moment at
+    which they can start: short jobs have little time to spare, long ones gain urgency
+    as they wait. Late steps follow, the shortest first, so that one late job does not
+    make the next one late as well; steps whose answer is of little use come last.
     """
     latest_start = step.due - expected
     if now <= latest_start:
-        return (False, False, latest_start.total_seconds())
-    return (True, not step.begun, expected.total_seconds() * len(step.tasks))
+        return (Rank.ON_TIME, not step.begun, latest_start.total_seconds())
+    rank = Rank.LATE if now + expected <= step.useful else Rank.STALE
+    work = expected.total_seconds() * len(step.tasks)
+    return (rank, not step.begun, work)
 
 
 def choose_minion(
@@ -71,4 +83,4 @@
     return minion.usable(now)
 
 
-__all__ = ["choose_minion", "urgency"]
+__all__ = ["Rank", "choose_minion", "urgency"]
--- a/src/brasstray/pool/step_tasks.py
+++ b/src/brasstray/pool/step_tasks.py
@@ -19,8 +19,8 @@
 class StepTasks:
     """Hold what the tasks of one step of a job have in common.
 
-    `due` is when the job's objective ends and `limit` when its caller leaves, both on
-    the steady clock. `forwarded` marks tasks that came from another pool and stay here.
+    `due` is when the job's objective ends, `useful` until when a late answer is of some
+    use, and `limit` when its caller leaves, all on the steady clock. `forwarded` marks tasks that came from another pool and stay here.
     `paces` holds, by minion, actual over expected durations of the tasks seen there.
     """
 
@@ -33,6 +33,7 @@
     estimate: timedelta
     arrived: timedelta
     due: timedelta
+    useful: timedelta
     limit: timedelta
     priority: int
     attempts: int
--- /dev/null
+++ b/tests/pool/test_placement.py
@@ -0,0 +1,196 @@
+"""Check which tasks go first and where, when there is not room for all.
+
+The load is that of the last days of a month: wide jobs of 60 ms tasks, jobs of a few
+200 ms tasks and some of 900 ms ones, at or above what the minions can do.
+"""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+
+from brasstray.batch.ids import BatchId, RunNumber
+from brasstray.batch.resources import Resources
+from brasstray.batch.task_name import TaskName
+from brasstray.job.ids import DataCentreName, MinionId, ServiceName
+from brasstray.pool.durations import Durations
+from brasstray.pool.minion import Minion, Reach
+from brasstray.pool.minion_entry import MinionEntry
+from brasstray.pool.placement import choose_minion, urgency
+from brasstray.pool.pool_task import PoolTask, TaskPhase
+from brasstray.pool.run_record import RunRecord, RunState
+from brasstray.pool.step_tasks import StepTasks
+
+SERVICE = ServiceName("verlofdienst")
+NOW = timedelta(seconds=100)
+
+
+def ms(count):
+    return timedelta(milliseconds=count)
+
+
+def step(due=500, estimate=60, *, width=1, begun=False, useful=1_500, **changes):
+    made = StepTasks(
+        batch=BatchId("a" * 16),
+        step=0,
+        requester=None,
+        service=SERVICE,
+        spec="",
+        needs=Resources(6_800, 64),
+        estimate=ms(estimate),
+        arrived=NOW,
+        due=NOW + ms(due),
+        useful=NOW + ms(useful),
+        limit=NOW + ms(3_000),
+        priority=0,
+        attempts=3,
+        rack="",
+        label="",
+        max_per_minion=0,
+        forwarded=False,
+        queue="q",
+        width=width,
+    )
+    made.begun = begun
+    for name, value in changes.items():
+        setattr(made, name, value)
+    for index in range(width):
+        name = TaskName(made.batch, 0, index)
+        task = PoolTask(name, made, TaskPhase.WAITING, RunNumber(0))
+        made.tasks[index] = task
+        made.waiting.append(task)
+    return made
+
+
+def minion(name, cpu=16_000, labels=(), used=0, **changes):
+    entry = MinionEntry(
+        MinionId(name),
+        changes.pop("service", SERVICE),
+        DataCentreName("dc0"),
+        name,
+        1,
+        Resources(cpu, 32_000),
+        labels,
+        changes.pop("draining", False),
+    )
+    made = Minion(entry)
+    made.reach = changes.pop("reach", Reach.HELD)
+    if used:
+        record = RunRecord(
+            TaskName(BatchId("b" * 16), 0, 0),
+            RunNumber(1),
+            Resources(used),
+            NOW,
+            ms(60),
+            RunState.ACTIVE,
+            changes.pop("task", object()),
+        )
+        made.add(record)
+    return made
+
+
+@pytest.mark.parametrize(
+    ("first", "second"),
+    [
+        # Both can be in time: the one that must start sooner.
+        (step(due=100), step(due=300)),
+        (step(due=500, estimate=450), step(due=300, estimate=60)),
+        # One that has tasks at work already, before a new one: half a job is no answer.
+        (step(due=400, begun=True), step(due=100)),
+        # One that can still be in time, before one that cannot.
+        (step(due=400), step(due=10)),
+        (step(due=400), step(due=10, begun=True)),
+        # Of late ones those that have begun, then the shortest.
+        (step(due=-50, estimate=200, begun=True), step(due=-50, estimate=60)),
+        (step(due=-50, estimate=60), step(due=-50, estimate=200)),
+        (step(due=-50, estimate=60, width=2), step(due=-50, estimate=60, width=8)),
+        # An answer of little use goes last, whatever it takes.
+        (
+            step(due=-50, estimate=900),
+            step(due=-900, estimate=60, useful=-10, begun=True),
+        ),
+    ],
+)
+def test_what_goes_first(first, second):
+    def key(made):
+        return urgency(made, made.estimate, NOW)
+
+    assert key(first) < key(second)
+
+
+@pytest.mark.parametrize(
+    ("others", "chosen"),
+    [
+        # The one that is left with the least unusable room.
+        ([minion("a"), minion("b", used=7_000)], "b"),
+        ([minion("a", cpu=24_000, used=13_600), minion("b")], "a"),
+        # Not one without room, out of reach, of another service, or about to leave.
+        ([minion("a", used=12_000), minion("b")], "b"),
+        ([minion("a", reach=Reach.SILENT), minion("b")], "b"),
+        ([minion("a", reach=Reach.NEW), minion("b")], "b"),
+        ([minion("a", service=ServiceName("other")), minion("b")], "b"),
+        ([minion("a", draining=True), minion("b")], "b"),
+        ([minion("a", draining=True)], None),
+        # Not one with runs of an earlier owner whose size is not known.
+        ([minion("a", used=1, task=None), minion("b")], "b"),
+        ([], None),
+    ],
+)
+def test_where_a_task_goes(others, chosen):
+    task = step().waiting[0]
+    found = choose_minion(task, others, Durations(1.5), NOW)
+    assert (found.entry.id if found else None) == chosen
+
+
+@pytest.mark.parametrize(
+    ("changes", "chosen"),
+    [
+        ({"label": "gpu"}, "labelled"),
+        ({"rack": "r1"}, "near"),
+        ({}, "plain"),
+    ],
+)
+def test_labels_and_racks(changes, chosen):
+    minions = [
+        minion("plain", used=7_000),
+        minion("labelled", labels=("gpu", "r2")),
+        minion("near", labels=("a", "r1")),
+    ]
+    minions[0].entry = minions[0].entry.__class__(
+        **{**_fields(minions[0].entry), "labels": ("a", "r2")}
+    )
+    task = step(**changes).waiting[0]
+    assert choose_minion(task, minions, Durations(1.5), NOW).entry.id == chosen
+
+
+def _fields(entry):
+    return {name: getattr(entry, name) for name in entry.__dataclass_fields__}
+
+
+def test_a_faster_minion_is_learned_and_preferred():
+    durations = Durations(1.0)
+    made = step()
+    fast, slow = minion("fast"), minion("slow")
+    for _ in range(20):
+        durations.learn(made, fast.entry.id, ms(60), ms(45))
+        durations.learn(made, slow.entry.id, ms(60), ms(75))
+    task = made.waiting[0]
+    assert choose_minion(task, [slow, fast], durations, NOW) is fast
+
+
+def test_no_more_tasks_of_a_step_share_a_minion_than_allowed():
+    made = step(width=2, max_per_minion=1)
+    one, other = minion("a", cpu=24_000), minion("b", cpu=24_000)
+    beside = RunRecord(
+        made.waiting[0].name,
+        RunNumber(1),
+        made.needs,
+        NOW,
+        ms(60),
+        RunState.ACTIVE,
+        made.waiting[0],
+    )
+    one.add(beside)
+    assert choose_minion(made.waiting[1], [one, other], Durations(1.0), NOW) is other
+    assert choose_minion(made.waiting[1], [one], Durations(1.0), NOW) is None
