Free the room of a stopped run only when its end is listed

Cause: a minion does not tell a run as active while it is being stopped, which takes up to 50 ms; the owner took it for one that had never been there and used its room again. Ruled out: a late start, as every run over the capacity had been stopped just before. Change: after an answered stop the owner waits out the stop time. Looks that another has overtaken tell no active runs any more: an ended run seemed to be back. Test: a full pool whose caller hangs up, failing before.

--- a/src/brasstray/pool/minion.py
+++ b/src/brasstray/pool/minion.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import deque
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -19,6 +20,10 @@
     from brasstray.pool.step_tasks import StepTasks
 
 
+# Looks overtake one another by a few, and a minion has a few dozen runs at most.
+ENDS_REMEMBERED = 64
+
+
 class Reach(Enum):
     """Tell whether a minion is in reach of its owner.
 
@@ -45,6 +50,7 @@
         self.health = MinionHealth()
         self.runs: dict[tuple[TaskName, RunNumber], RunRecord] = {}
         self._used = Resources()
+        self._gone: deque[tuple[TaskName, RunNumber]] = deque(maxlen=ENDS_REMEMBERED)
 
     @property
     def room(self) -> Resources:
@@ -71,6 +77,10 @@
         self.runs[record.name, record.run] = record
         self._used = self._used + record.needs
 
+    def has_ended(self, name: TaskName, run: RunNumber) -> bool:
+        """Tell whether the end of a run here is known, so that it is not seen again."""
+        return (name, run) in self._gone
+
     def resize(self, record: RunRecord, needs: Resources) -> None:
         """Count `record` as needing `needs` from now on."""
         self._used = self._used - record.needs + needs
@@ -80,6 +90,7 @@
         """Free what `record` used; return whether it was still counted."""
         if self.runs.pop((record.name, record.run), None) is None:
             return False
+        self._gone.append((record.name, record.run))
         self._used = self._used - record.needs
         return True
 
--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -59,6 +59,7 @@
         self._lease = LeaseClock(timing)
         self._acknowledged = 0
         self._unanswered_at: timedelta | None = None
+        self._newest_look_ms = 0
         self._unsettled: set[tuple[TaskName, RunNumber]] = set()
 
     @property
@@ -154,10 +155,7 @@
                 continue
             return
 
-    async def _look(
-        self, *, lease: bool, wait: timedelta
-    ) -> set[tuple[TaskName, RunNumber]]:
-        """Look once, let the owner see it, and return which runs are active."""
+    async def _look(self, *, lease: bool, wait: timedelta) -> None:
         until = None
         if lease:
             until = self._lease.next_until(self._clock.monotonic())
@@ -175,8 +173,11 @@
         fresh = tuple(e for e in look.ended if e.number > self._acknowledged)
         if fresh:
             self._acknowledged = max(ended.number for ended in fresh)
-        self._owner.see(self._minion, look.active, fresh)
-        return {(run.task, run.run) for run in look.active}
+        # Guards against a look that another has overtaken: it still tells runs as active
+        # whose end the later one has listed, and they would seem to be there again.
+        overtaken = look.clock_ms < self._newest_look_ms
+        self._newest_look_ms = max(self._newest_look_ms, look.clock_ms)
+        self._owner.see(self._minion, () if overtaken else look.active, fresh)
 
     def start(self, record: RunRecord, spec: str) -> None:
         """Send the start of `record`, which counts against the room already."""
@@ -257,23 +258,21 @@
     async def _await_end(self, record: RunRecord) -> None:
         """Wait for the end of a run whose stop was answered.
 
-        A run that was there is listed until it ends, within the stop time. One that is
-        not listed was not there, and is rejected from now on: it needs no waiting.
+        Guards against using its room again, or running its task elsewhere, while it is
+        being stopped: it is not told as active any more then, but its end is listed
+        within the stop time only. A run that was not there is rejected from now on and
+        lists no end, so that after this time there is nothing to wait for.
         """
         key = (record.name, record.run)
-        deadline = self._clock.monotonic() + self._timing.stop_time * 4
-        while key in self._minion.runs and self._clock.monotonic() < deadline:
+        await self._clock.sleep(self._timing.stop_time)
+        while key in self._minion.runs and self._minion.reach is not Reach.GONE:
             try:
-                active = await self._look(lease=False, wait=_NO_WAIT)
+                await self._look(lease=False, wait=_NO_WAIT)
             except MinionSilentError:
                 continue
             except (MinionGoneError, FencedError):
                 return
-            if key not in active:
-                self._owner.settle_stopped(self._minion, record)
-                return
-            await self._clock.sleep(self._timing.stop_time / 4)
-        self._owner.settle_stopped(self._minion, record)
+            self._owner.settle_stopped(self._minion, record)
 
     async def _call_stop(self, name: TaskName, run: RunNumber) -> None:
         await self._calls.stop(
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -463,6 +463,8 @@
 
     def _see_active(self, minion: Minion, run: ActiveRun) -> None:
         record = minion.runs.get((run.task, run.run))
+        if record is None and minion.has_ended(run.task, run.run):
+            return
         if record is None:
             record = RunRecord(
                 run.task,
--- a/src/brasstray_standins/leased_minion.py
+++ b/src/brasstray_standins/leased_minion.py
@@ -27,6 +27,7 @@
 
 _MILLISECOND = timedelta(milliseconds=1)
 LONGEST_LEASE = timedelta(seconds=1)
+STOP_TIME = timedelta(milliseconds=50)
 
 
 @dataclass
@@ -40,6 +41,7 @@
     left: timedelta
     checked: timedelta
     fails: bool
+    stopped_at: timedelta | None = None
 
 
 @dataclass(frozen=True)
@@ -113,6 +115,10 @@
         now = self._clock.monotonic()
         lapsed = self.clock_ms >= self._until_ms
         for run in list(self._runs.values()):
+            if run.stopped_at is not None:
+                if now - run.stopped_at >= STOP_TIME:
+                    self._end(run, RunEnd.STOPPED)
+                continue
             if not self.stuck:
                 run.left -= (now - run.checked) / self.slowness
             run.checked = now
@@ -162,6 +168,7 @@
         active = tuple(
             ActiveRun(run.task, run.run, round(100 * (1 - run.left / run.work)))
             for run in self._runs.values()
+            if run.stopped_at is None
         )
         return Look(self.clock_ms, active, tuple(self._ends))
 
@@ -216,12 +223,15 @@
         task: TaskName,
         run: RunNumber,
     ) -> None:
-        """Stop a run, or have it refused if it comes later."""
+        """Stop a run, or have it refused if it comes later.
+
+        What is being stopped is not told as active any more, but uses its room still.
+        """
         self._check(entry, token)
         self._highest[task] = max(run, self._highest.get(task, RunNumber(0)))
         at_work = self._runs.get(task)
         if at_work is not None and at_work.run <= run:
-            self._end(at_work, RunEnd.STOPPED)
+            at_work.stopped_at = at_work.stopped_at or self._clock.monotonic()
 
 
 async def tick_all(
--- a/tests/host/test_pool_failures.py
+++ b/tests/host/test_pool_failures.py
@@ -259,6 +259,35 @@
     assert at_work == []
 
 
+def test_room_is_not_used_again_before_a_stopped_run_has_ended(play_pools):
+    # Minions are full when a manager closes her browser. What is being stopped for her
+    # is not told as active any more, but takes up to 50 ms to end: a task that starts
+    # in its place too early brings the minion over its capacity.
+    size = PoolSystemSize(data_centres=1, minions_each=2)
+
+    async def story(system):
+        system.book.usual = Work(USUAL_NEEDS, ms(400))
+        async with anyio.create_task_group() as group:
+            scope = anyio.CancelScope()
+
+            async def leaving():
+                with scope:
+                    await system.submit(system.other(), usual_batch("d" * 16, 4))
+
+            group.start_soon(leaving)
+            await system.clock.sleep(ms(50))
+            load = Load(system, group)
+            group.start_soon(load.submit, "e" * 16, system.other())
+            await system.clock.sleep(ms(50))
+            scope.cancel()
+            await system.clock.sleep(SECOND)
+        return load
+
+    load, system = play_pools(story, size)
+    assert load.succeeded == 1
+    assert system.book.broken == []
+
+
 def test_wide_jobs_spill_to_the_other_data_centre(play_pools):
     # A job is wider than its data centre has room for: the rest of its tasks go to
     # another one that has, instead of waiting for a second round.
