--- a/src/brasstray/host/pool_directory.py
+++ b/src/brasstray/host/pool_directory.py
@@ -61,6 +61,13 @@
         """Return who owns `pool`, as far as the store has told."""
         return self._owned.get(pool)
 
+    def owns_other_pool(self, host: str) -> bool:
+        """Tell whether `host` owns a pool other than the one owned here."""
+        return any(
+            owned.owner.host == host and pool != self._local_pool
+            for pool, owned in self._owned.items()
+        )
+
     def lost_for(self, pool: PoolId) -> timedelta | None:
         """Return for how long the owner of `pool` has been out of reach."""
         link = self._links.get(pool)
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -145,6 +145,7 @@
             group.start_soon(self._ownership.claim_when_vacant)
             group.start_soon(self._coordinator.watch)
             group.start_soon(self._watch_freezes)
+            group.start_soon(self._push_loads)
 
     def drain(self) -> None:
         """Leave the pool to another host; go on with the jobs at work here."""
@@ -215,6 +216,24 @@
         for link in self._requesters:
             link.tell_state()
 
+    async def _push_loads(self) -> None:
+        """Tell the other owners at once when this pool gains room or runs out of it.
+
+        A place is free for some 10 ms under load: with heartbeats alone, tasks waited
+        in one data centre while places stood empty in another.
+        """
+        told = 0
+        while True:
+            await self._clock.sleep(self._timing.load_push)
+            places = self._load().places
+            if places > told or (told and not places):
+                told = places
+                for link in self._requesters:
+                    if self._directory.owns_other_pool(link.name):
+                        link.tell_state()
+            else:
+                told = min(told, places)
+
     def _load(self) -> PoolLoad:
         return self._owner.load() if self._owner is not None else PoolLoad()
 
--- a/src/brasstray/host/timing.py
+++ b/src/brasstray/host/timing.py
@@ -20,6 +20,7 @@
     `ping` goes both ways on every link. `owner_silence` is after how many of them an
     owner counts as lost: low enough that a takeover comes before leases lapse.
     `claim_jitter` spreads the hosts that would take a pool over at once.
+    `load_push` is how often other owners may be told of a change of room.
     `freeze` is how long this process must have stood still to distrust what it knows.
     """
 
@@ -32,6 +33,7 @@
     pool_watch: timedelta = _ms(2_500)
     store_retry: timedelta = _ms(150)
     tick: timedelta = _ms(20)
+    load_push: timedelta = _ms(10)
     freeze: timedelta = _ms(500)
     pool: PoolTiming = field(default_factory=PoolTiming)
     coordinator: CoordinatorTiming = field(default_factory=CoordinatorTiming)
--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -173,7 +173,7 @@
         fresh = tuple(e for e in look.ended if e.number > self._acknowledged)
         if fresh:
             self._acknowledged = max(ended.number for ended in fresh)
-        # Guards against a look that another has overtaken: it still tells runs as active
+        # Guards against a look that another has overtaken: it tells runs as active
         # whose end the later one has listed, and they would seem to be there again.
         overtaken = look.clock_ms < self._newest_look_ms
         self._newest_look_ms = max(self._newest_look_ms, look.clock_ms)
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -49,6 +49,12 @@
 RUN_NUMBER_LEAP = 1_000
 # Ends are remembered for this long for a requester that asks again on a new link.
 END_MEMORY = timedelta(seconds=3)
+# Room is told to others in places for tasks of usual size: the average of the last
+# twenty requests or so, and a little more, as a place too small for the next task is
+# worth less than none.
+TYPICAL_WEIGHT = 0.05
+TYPICAL_MARGIN = 1.1
+UNKNOWN_CPU = 1_000.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,7 +96,7 @@
         self._listed = anyio.Event()
         self._settled = False
         self._deposed = anyio.Event()
-        self._typical_cpu = 1_000.0
+        self._typical_cpu: float | None = None
 
     @property
     def pool(self) -> PoolId:
@@ -128,8 +134,13 @@
             self._group = group
             group.start_soon(self._settle)
             group.start_soon(self._watch_time)
-            await self._deposed.wait()
-            group.cancel_scope.cancel()
+            try:
+                await self._deposed.wait()
+            finally:
+                # Guards against orders after the end: messages and callers that end
+                # still reach this object for a moment, and it must not act any more.
+                self._deposed.set()
+                group.cancel_scope.cancel()
 
     def depose(self, minion: Minion | None = None) -> None:
         """Stop owning: another holder of the pool has been seen."""
@@ -244,6 +255,8 @@
 
     def run_tasks(self, requester: Requester, message: RunTasks) -> None:
         """Take tasks, or claims to tasks that an earlier owner was given."""
+        if self._deposed.is_set():
+            return
         now = self._clock.monotonic()
         key = (message.batch, message.step)
         step = self._steps.get(key)
@@ -288,7 +301,10 @@
         task.of.waiting.append(task)
 
     def _weigh(self, needs: Resources) -> None:
-        self._typical_cpu += 0.05 * (max(1, needs.cpu_millis) - self._typical_cpu)
+        cpu = max(1, needs.cpu_millis)
+        if self._typical_cpu is None:
+            self._typical_cpu = cpu
+        self._typical_cpu += TYPICAL_WEIGHT * (cpu - self._typical_cpu)
 
     def stop_tasks(self, requester: Requester, batch: BatchId) -> None:
         """Drop the waiting tasks of a job and stop its runs."""
@@ -305,6 +321,8 @@
         self.dispatch()
 
     def _drop(self, step: StepTasks, why: str) -> None:
+        if self._deposed.is_set():
+            return
         self._events.dropped(step, why)
         del self._steps[step.batch, step.step]
         step.waiting.clear()
@@ -435,7 +453,9 @@
         )
         if waiting:
             return PoolLoad(0, round(1_000 * waiting / max(1, capacity)))
-        typical = max(1, round(self._typical_cpu * 1.1))
+        # Before the first task nothing is known of their size: room is told of once
+        # somebody has asked for some.
+        typical = round((self._typical_cpu or UNKNOWN_CPU) * TYPICAL_MARGIN)
         return PoolLoad(sum(m.room.cpu_millis // typical for m in usable), 0)
 
     # What minions tell
--- a/src/brasstray_standins/leased_minion.py
+++ b/src/brasstray_standins/leased_minion.py
@@ -104,6 +104,11 @@
         """Return the tasks at work."""
         return set(self._runs)
 
+    @property
+    def runs(self) -> list[StandInRun]:
+        """Return the runs at work, whose work may be changed."""
+        return list(self._runs.values())
+
     def crash(self) -> None:
         """End all runs; nothing responds here any more."""
         self.alive = False
--- a/src/brasstray_standins/pool_system.py
+++ b/src/brasstray_standins/pool_system.py
@@ -124,9 +124,11 @@
     )
 
 
-def usual_batch(name: str, width: int = 4) -> Batch:
+def usual_batch(
+    name: str, width: int = 4, estimate: timedelta = USUAL_DURATION
+) -> Batch:
     """Return a job of one step with tasks of the usual kind."""
-    return Batch(BatchId(name), "", (Step(width, USUAL_NEEDS, USUAL_DURATION),))
+    return Batch(BatchId(name), "", (Step(width, USUAL_NEEDS, estimate),))
 
 
 @dataclass
--- /dev/null
+++ b/tests/host/test_load_sharing.py
@@ -0,0 +1,45 @@
+"""Check how pools share load that one of them has no room for."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import anyio
+import pytest
+
+from brasstray_standins.leased_minion import Work
+from brasstray_standins.pool_system import USUAL_NEEDS, PoolSystemSize, usual_batch
+
+
+def ms(count):
+    return timedelta(milliseconds=count)
+
+
+@pytest.mark.parametrize("offset", range(90, 210, 15))
+def test_waiting_tasks_move_as_soon_as_another_pool_has_room(play_pools, offset):
+    # Both pools are full and a job waits at the first. The second becomes free. The
+    # first must hear of it at once and not with the next heartbeat: a balance enquiry
+    # takes 60 ms, and a heartbeat comes every 120 ms.
+    size = PoolSystemSize(data_centres=2, minions_each=1)
+
+    async def story(system):
+        system.book.usual = Work(USUAL_NEEDS, ms(600))
+        async with anyio.create_task_group() as group:
+            for job, host in (("a" * 16, system.other(0)), ("b" * 16, system.other(1))):
+                long = usual_batch(job, 2, ms(600))
+                group.start_soon(system.submit, host, long)
+            await system.clock.sleep(ms(150))
+            system.book.usual = Work(USUAL_NEEDS, ms(60))
+            group.start_soon(system.submit, system.other(0), usual_batch("c" * 16, 1))
+            await system.clock.sleep(ms(offset))
+            before = len(system.book.starts)
+            for run in system.places["dc1-m0"].runs:
+                run.left = ms(1)
+            began = system.clock.monotonic()
+            while len(system.book.starts) == before:
+                await system.clock.sleep(ms(1))
+            return system.clock.monotonic() - began
+
+    took, system = play_pools(story, size)
+    assert took < ms(30)
+    assert system.book.broken == []
