--- a/src/brasstray/daemon/pool_daemon.py
+++ b/src/brasstray/daemon/pool_daemon.py
@@ -10,6 +10,7 @@
 
 import anyio
 from eliot import add_destinations, log_message
+from result import Err, Ok
 
 from brasstray.clock.loop import LoopClock
 from brasstray.host.event_log import EventLog
@@ -28,12 +29,17 @@
 from brasstray.platform.platform_minions import PlatformMinions
 from brasstray.platform.platform_store import PlatformStore
 from brasstray.platform.ready_app import ReadyApp
+from brasstray.settings.pool_settings import read_pool_settings
 
 if TYPE_CHECKING:
+    from pathlib import Path
+
     from brasstray.metrics.pool_metrics import PoolMetrics
     from brasstray.settings.pool_settings import PoolSettings
 
 STANDARD_OUTPUT = 1
+# A changed file is in force as soon as a changed configuration must be, 2 s.
+RELOAD_INTERVAL = timedelta(seconds=1)
 # How long callers go on coming after this host has said that it is not ready: the
 # platform asks once a second and takes a host out after two misses.
 ROTATION_TIME = timedelta(seconds=2.5)
@@ -44,8 +50,11 @@
 class PoolDaemon:
     """Own a host, its listeners and its connections."""
 
-    def __init__(self, settings: PoolSettings, metrics: PoolMetrics) -> None:
+    def __init__(
+        self, path: Path, settings: PoolSettings, metrics: PoolMetrics
+    ) -> None:
         random = SystemRandom()
+        self._path = path
         self._settings = settings
         self._clock = LoopClock()
         self._output = BoundedOutput(STANDARD_OUTPUT, self._clock)
@@ -92,6 +101,8 @@
             group.start_soon(serve_streams, peers, self._host.serve)
             group.start_soon(self._ready.run, ready)
             group.start_soon(self._drain_on_signal)
+            group.start_soon(self._reload_on_signal)
+            group.start_soon(self._reload_on_change)
             log_message(
                 "brasstray:started",
                 incarnation=self._host.identity.incarnation,
@@ -102,6 +113,39 @@
             self._output.flush()
             group.cancel_scope.cancel()
 
+    async def _reload_on_signal(self) -> None:
+        with anyio.open_signal_receiver(signal.SIGHUP) as signals:
+            async for number in signals:
+                log_message("brasstray:signal", signal=number.name)
+                self.reload()
+
+    async def _reload_on_change(self) -> None:
+        """Reread the settings, as they may change without a signal."""
+        while True:
+            await self._clock.sleep(RELOAD_INTERVAL)
+            self.reload()
+
+    def reload(self) -> None:
+        """Put changed settings in force; keep the old ones if the new are not valid.
+
+        Names and listeners stay as they are until the next start.
+        """
+        match read_pool_settings(self._path):
+            case Err(problems):
+                log_message(
+                    "brasstray:settings_refused", problems=[str(p) for p in problems]
+                )
+            case Ok(settings) if settings != self._settings:
+                store = settings.store.address
+                if store != self._settings.store.address:
+                    self._store.move(store.address, store.port)
+                self._settings = settings
+                log_message(
+                    "brasstray:settings_reloaded",
+                    store=f"{store.address}:{store.port}",
+                    grace_seconds=settings.stop.grace_seconds,
+                )
+
     async def _drain_on_signal(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for number in signals:
--- a/src/brasstray/daemon/pool_main.py
+++ b/src/brasstray/daemon/pool_main.py
@@ -30,7 +30,7 @@
         case Ok(settings):
             metrics = PoolMetrics(MeterProvider([]).get_meter(settings.host.name))
             try:
-                anyio.run(PoolDaemon(settings, metrics).run, backend="asyncio")
+                anyio.run(PoolDaemon(path, settings, metrics).run, backend="asyncio")
             except OSError as error:
                 print(f"{path}: cannot listen: {error}", file=sys.stderr)
                 return CANNOT_LISTEN_STATUS
--- a/src/brasstray/platform/platform_store.py
+++ b/src/brasstray/platform/platform_store.py
@@ -46,6 +46,10 @@
     def __init__(self, address: str, port: int) -> None:
         self._connections = Connections(address, port, IDLE_CONNECTIONS)
 
+    def move(self, address: str, port: int) -> None:
+        """Call the store at another address from now on."""
+        self._connections = Connections(address, port, IDLE_CONNECTIONS)
+
     async def get(self, name: str) -> StoreEntry | None:
         """Return the entry called `name`, if there is one."""
         target = f"/-/kv-key?{urlencode({'Key': name})}"
--- a/src/brasstray/pool/minion.py
+++ b/src/brasstray/pool/minion.py
@@ -8,7 +8,6 @@
 
 from brasstray.batch.resources import Resources
 from brasstray.pool.minion_health import MinionHealth
-from brasstray.pool.run_record import RunState
 
 if TYPE_CHECKING:
     from datetime import timedelta
@@ -58,12 +57,12 @@
         return self.entry.capacity - self._used
 
     @property
-    def has_unclaimed(self) -> bool:
-        """Tell whether runs of an earlier owner are here whose size is not known."""
-        return any(
-            record.task is None and record.state is RunState.ACTIVE
-            for record in self.runs.values()
-        )
+    def has_unsized(self) -> bool:
+        """Tell whether runs of an earlier owner are here whose size is not known.
+
+        They use room until their end is listed, also while they are being stopped.
+        """
+        return any(not record.size_known for record in self.runs.values())
 
     def has_task_of(self, step: StepTasks) -> bool:
         """Tell whether a wanted task of `step` is here."""
@@ -85,6 +84,7 @@
         """Count `record` as needing `needs` from now on."""
         self._used = self._used - record.needs + needs
         record.needs = needs
+        record.size_known = True
 
     def remove(self, record: RunRecord) -> bool:
         """Free what `record` used; return whether it was still counted."""
@@ -96,7 +96,7 @@
 
     def usable(self, now: timedelta) -> bool:
         """Tell whether a new task may start here at `now`."""
-        if self.reach is not Reach.HELD or self.entry.draining or self.has_unclaimed:
+        if self.reach is not Reach.HELD or self.entry.draining or self.has_unsized:
             return False
         most = self.health.most_runs(now)
         return most is None or len(self.runs) < most
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -494,6 +494,7 @@
                 timedelta(0),
                 RunState.ACTIVE,
                 None,
+                size_known=False,
             )
             minion.add(record)
             step = self._steps.get((run.task.batch, run.task.step))
--- a/src/brasstray/pool/run_record.py
+++ b/src/brasstray/pool/run_record.py
@@ -32,7 +32,8 @@
     """Hold a run from before its start is sent until its end is known.
 
     `task` is None for a run that an earlier owner started and nobody has claimed yet,
-    or that is no longer wanted.
+    or that is no longer wanted. `size_known` is false until a run of an earlier owner
+    is claimed: nobody else can tell what it uses.
     """
 
     name: TaskName
@@ -43,6 +44,7 @@
     state: RunState
     task: PoolTask | None
     percent: int = 0
+    size_known: bool = True
 
 
 __all__ = ["RunRecord", "RunState"]
--- a/tests/host/test_pool_failures.py
+++ b/tests/host/test_pool_failures.py
@@ -288,6 +288,31 @@
     assert system.book.broken == []
 
 
+def test_runs_that_nobody_claims_use_room_until_they_have_ended(play_pools):
+    # The host that orders the minions dies with jobs of its own callers at work. Its
+    # successor finds runs that nobody claims, and does not know their size. It stops
+    # them, which takes up to 50 ms; new tasks must wait until they have ended.
+    size = PoolSystemSize(data_centres=1, minions_each=2)
+
+    async def story(system):
+        system.book.usual = Work(USUAL_NEEDS, ms(2_000))
+        name = system.owner()
+        async with anyio.create_task_group() as group:
+            load = Load(system, group, width=4)
+            group.start_soon(load.submit, "a" * 16, name)
+            await system.clock.sleep(ms(50))
+            system.kill(name)
+            system.book.usual = Work(USUAL_NEEDS, ms(100))
+            other = sorted(system.hosts)[0]
+            group.start_soon(load.submit, "b" * 16, other)
+            await system.clock.sleep(2 * SECOND)
+        return load
+
+    load, system = play_pools(story, size)
+    assert load.succeeded == 1
+    assert system.book.broken == []
+
+
 def test_wide_jobs_spill_to_the_other_data_centre(play_pools):
     # A job is wider than its data centre has room for: the rest of its tasks go to
     # another one that has, instead of waiting for a second round.
--- a/tests/pool/test_placement.py
+++ b/tests/pool/test_placement.py
@@ -84,7 +84,8 @@
             NOW,
             ms(60),
             RunState.ACTIVE,
-            changes.pop("task", object()),
+            None,
+            size_known=changes.pop("size_known", True),
         )
         made.add(record)
     return made
@@ -133,7 +134,7 @@
         ([minion("a", draining=True), minion("b")], "b"),
         ([minion("a", draining=True)], None),
         # Not one with runs of an earlier owner whose size is not known.
-        ([minion("a", used=1, task=None), minion("b")], "b"),
+        ([minion("a", used=1, size_known=False), minion("b")], "b"),
         ([], None),
     ],
 )
