Specify who may run a task, and rerun lapsed tasks only as the confirmed owner

Cause: the model of pools found two runs at once where an owner that was replaced without knowing takes a lease for over that its successor has extended. The same in the code: an owner cut off from the store, its peers and one minion started the task on another. Ruled out: telling it by tokens, since the other minion need not be fenced yet. Change: after a lapse the store must confirm the ownership; else the tasks are given back in doubt. The inequality of silences, lease and resend is a model of its own on the code's intervals.

--- /dev/null
+++ b/spec/pool_protocol.py
@@ -0,0 +1,323 @@
+"""Specify who may run a task on which minion, and when it may run elsewhere.
+
+One task, two minions, and two owners of the pool: the first has token 1, the second may
+take over with token 2 at any moment, whether the first is dead, frozen or well. Starts
+travel as messages that arrive at any later moment, or never. Silence is a step that
+never comes. A lease is on or off; an order carries a lease of its own that is on until
+`the lease lapses` has been taken for its minion.
+"""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import TYPE_CHECKING, NamedTuple
+
+from minicheck import Protocol
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+Step = tuple[str, "State"]
+MINIONS = (0, 1)
+# Enough for a task to be sent, lost, sent elsewhere, and found by the second owner.
+MOST_RUNS = 2
+
+
+class PoolVariant(Enum):
+    """Choose which rule, if any, the modelled protocol leaves out."""
+
+    AS_DESIGNED = "as designed"
+    UNFENCED = "a new owner starts tasks before it has fenced every minion"
+    UNSETTLED = "a task whose start was not answered is started elsewhere at once"
+    SILENT_IS_DEAD = "a silent minion's tasks are started elsewhere before they lapse"
+    HOLD_FIRST = "a minion back in reach is held before late starts are stopped there"
+    UNCONFIRMED = "tasks that lapsed are started again by an owner that was replaced"
+    FORGETFUL = "a job is said not to have run although a start was sent"
+
+
+class Minion(NamedTuple):
+    """A minion: the highest token seen, its lease, the run at work, runs barred."""
+
+    token: int = 1
+    lease: bool = True
+    running: int = 0
+    barred: int = 0
+
+
+class Order(NamedTuple):
+    """A start under way; `fresh` while the lease that it carries has not passed."""
+
+    minion: int
+    token: int
+    run: int
+    fresh: bool = True
+
+
+class Owner(NamedTuple):
+    """An owner's book: where the task is, and what it must settle first.
+
+    `phase` is "away" (not yet owning), "settling", "found", "waiting", "sent", "active",
+    "silent" or "given up".
+    """
+
+    phase: str
+    minion: int = 0
+    run: int = 0
+    unsettled: frozenset[tuple[int, int]] = frozenset()
+    fenced: frozenset[int] = frozenset()
+    out_of_reach: frozenset[int] = frozenset()
+
+
+class State(NamedTuple):
+    """The whole system."""
+
+    minions: tuple[Minion, Minion]
+    orders: frozenset[Order]
+    first: Owner
+    second: Owner
+    sent: bool = False
+    refused: bool = False
+
+
+def initial() -> State:
+    """Return the state in which the first owner has the task and has not sent it."""
+    reached = frozenset(MINIONS)
+    return State(
+        (Minion(), Minion()),
+        frozenset(),
+        Owner("waiting", fenced=reached),
+        Owner("away"),
+    )
+
+
+def steps(s: State, variant: PoolVariant) -> Iterator[Step]:
+    """Yield every step that can come next."""
+    yield from arrivals(s)
+    for name, token in (("first", 1), ("second", 2)):
+        owner: Owner = getattr(s, name)
+        if owner.phase == "away":
+            continue
+        yield from place(s, name, token, owner, variant)
+        yield from hear(s, name, token, owner)
+        yield from settle(s, name, token, owner, variant)
+        yield from lose_sight(s, name, owner, variant)
+        yield from regain(s, name, token, owner, variant)
+    yield from take_over(s, variant)
+    yield from refuse(s, variant)
+
+
+def arrivals(s: State) -> Iterator[Step]:
+    """A start arrives, now or late; the minion obeys the highest token only."""
+    for order in s.orders:
+        minion = s.minions[order.minion]
+        left = s._replace(orders=s.orders - {order})
+        allowed = order.token >= minion.token and order.run > minion.barred
+        if allowed and (order.fresh or minion.lease) and not minion.running:
+            begun = minion._replace(
+                token=order.token, running=order.run, lease=True, barred=order.run
+            )
+            yield f"run {order.run} begins on {order.minion}", _put(left, order, begun)
+        else:
+            yield f"run {order.run} is rejected by {order.minion}", left
+    for number, minion in enumerate(s.minions):
+        if minion.running:
+            ended = minion._replace(running=0)
+            yield f"the run on {number} ends", _with(s, number, ended)
+
+
+def place(
+    s: State, name: str, token: int, owner: Owner, variant: PoolVariant
+) -> Iterator[Step]:
+    """An owner that knows the task to be nowhere starts it on a minion in reach."""
+    if owner.phase != "waiting" or s.refused or owner.run >= MOST_RUNS:
+        return
+    if owner.fenced != frozenset(MINIONS) and variant is not PoolVariant.UNFENCED:
+        return
+    for number in sorted(owner.fenced - owner.out_of_reach):
+        run = owner.run + 1
+        order = Order(number, token, run)
+        placed = owner._replace(phase="sent", minion=number, run=run)
+        state = s._replace(orders=s.orders | {order}, sent=True, **{name: placed})
+        yield f"{name} sends run {run} to {number}", state
+
+
+def hear(s: State, name: str, token: int, owner: Owner) -> Iterator[Step]:
+    """A look tells the owner that its run is at work, or an end that it is over."""
+    if owner.phase not in ("sent", "active") or owner.minion in owner.out_of_reach:
+        return
+    minion = s.minions[owner.minion]
+    if minion.token > token:
+        return
+    if minion.running == owner.run:
+        if owner.phase == "sent":
+            yield (
+                f"{name} sees its run",
+                s._replace(**{name: owner._replace(phase="active")}),
+            )
+    elif owner.phase == "active":
+        done = owner._replace(phase="waiting")
+        yield f"{name} hears of the end", s._replace(**{name: done})
+
+
+def settle(
+    s: State, name: str, token: int, owner: Owner, variant: PoolVariant
+) -> Iterator[Step]:
+    """A start was not answered: a stop that is answered bars the run for good."""
+    if owner.phase != "sent" or owner.minion in owner.out_of_reach:
+        return
+    if variant is PoolVariant.UNSETTLED:
+        again = owner._replace(phase="waiting")
+        yield f"{name} takes silence for a refusal", s._replace(**{name: again})
+    minion = s.minions[owner.minion]
+    if minion.token <= token:
+        stopped = _stop(minion, owner.run)
+        settled = owner._replace(phase="waiting")
+        state = _with(s, owner.minion, stopped)._replace(**{name: settled})
+        yield f"{name} has its run stopped", state
+
+
+def lose_sight(
+    s: State, name: str, owner: Owner, variant: PoolVariant
+) -> Iterator[Step]:
+    """A minion falls silent; after a while every lease there is over for sure."""
+    for number in sorted(owner.fenced - owner.out_of_reach):
+        silent = owner._replace(out_of_reach=owner.out_of_reach | {number})
+        if owner.phase in ("sent", "active") and owner.minion == number:
+            if owner.phase == "sent":
+                bars = owner.unsettled | {(number, owner.run)}
+                silent = silent._replace(unsettled=bars)
+            early = variant is PoolVariant.SILENT_IS_DEAD
+            silent = silent._replace(phase="waiting" if early else "silent")
+        yield f"{number} falls silent to {name}", s._replace(**{name: silent})
+    if owner.phase == "silent":
+        # The owner asks the store whether it still owns the pool. A successor may have
+        # extended the lease that it takes for over.
+        replaced = name == "first" and s.second.phase != "away"
+        if not replaced or variant is PoolVariant.UNCONFIRMED:
+            yield f"the lease on {owner.minion} lapses", _lapse(s, name, owner)
+        else:
+            given_up = owner._replace(phase="given up")
+            yield f"{name} gives the task up", s._replace(**{name: given_up})
+
+
+def _lapse(s: State, name: str, owner: Owner) -> State:
+    number = owner.minion
+    orders = frozenset(
+        order._replace(fresh=False) if order.minion == number else order
+        for order in s.orders
+    )
+    lapsed = s.minions[number]
+    if lapsed.token == (1 if name == "first" else 2):
+        lapsed = lapsed._replace(lease=False, running=0)
+    freed = owner._replace(phase="waiting")
+    return _with(s, number, lapsed)._replace(orders=orders, **{name: freed})
+
+
+def regain(
+    s: State, name: str, token: int, owner: Owner, variant: PoolVariant
+) -> Iterator[Step]:
+    """A minion is in reach again: stop what may come late there, then hold it."""
+    for number in sorted(owner.out_of_reach):
+        minion = s.minions[number]
+        if minion.token > token or (owner.phase == "silent" and owner.minion == number):
+            continue
+        settled = frozenset(bar for bar in owner.unsettled if bar[0] == number)
+        if variant is not PoolVariant.HOLD_FIRST:
+            for _, run in settled:
+                minion = _stop(minion, run)
+        back = owner._replace(
+            out_of_reach=owner.out_of_reach - {number},
+            unsettled=owner.unsettled - settled,
+        )
+        held = minion._replace(lease=True, token=token)
+        yield (
+            f"{name} holds {number} again",
+            _with(s, number, held)._replace(**{name: back}),
+        )
+
+
+def take_over(s: State, variant: PoolVariant) -> Iterator[Step]:
+    """The second owner takes the pool and fences one minion after the other."""
+    owner = s.second
+    if owner.phase == "away":
+        taken = Owner("settling", run=0)
+        if variant is PoolVariant.UNFENCED:
+            taken = Owner("waiting", run=0)
+        yield "second takes the pool", s._replace(second=taken)
+        return
+    for number in MINIONS:
+        if number in owner.fenced:
+            continue
+        minion = s.minions[number]
+        seen = owner._replace(fenced=owner.fenced | {number})
+        if minion.running and owner.phase == "settling":
+            seen = seen._replace(phase="found", minion=number, run=minion.running)
+        elif minion.running and owner.phase == "waiting":
+            seen = seen._replace(phase="active", minion=number, run=minion.running)
+        fenced = minion._replace(token=2, lease=True)
+        yield f"second fences {number}", _with(s, number, fenced)._replace(second=seen)
+    if owner.fenced == frozenset(MINIONS) and owner.phase in ("settling", "found"):
+        phase = "waiting" if owner.phase == "settling" else "active"
+        settled = owner._replace(phase=phase)
+        yield "second knows what runs", s._replace(second=settled)
+
+
+def refuse(s: State, variant: PoolVariant) -> Iterator[Step]:
+    """The caller is told that the job has not run; nothing of it is sent after that."""
+    if s.refused or s.first.phase != "waiting":
+        return
+    if not s.sent or variant is PoolVariant.FORGETFUL:
+        yield "the job is refused as not run", s._replace(refused=True)
+
+
+def _stop(minion: Minion, run: int) -> Minion:
+    running = 0 if minion.running and minion.running <= run else minion.running
+    return minion._replace(barred=max(minion.barred, run), running=running)
+
+
+def _put(s: State, order: Order, minion: Minion) -> State:
+    return _with(s, order.minion, minion)
+
+
+def _with(s: State, number: int, minion: Minion) -> State:
+    minions = list(s.minions)
+    minions[number] = minion
+    return s._replace(minions=tuple(minions))
+
+
+def never_two_runs(s: dict) -> bool:
+    """The task is never at work on two minions at the same time."""
+    return sum(bool(minion.running) for minion in s["minions"]) <= 1
+
+
+def not_run_is_true(s: dict) -> bool:
+    """Nothing of a job that was said not to have run is at work or on its way."""
+    return not (s["refused"] and s["sent"])
+
+
+POOL_INVARIANTS = {check.__name__: check for check in (never_two_runs, not_run_is_true)}
+
+
+def pool_model(variant: PoolVariant = PoolVariant.AS_DESIGNED) -> Protocol:
+    """Return the protocol, as designed or broken, for the checker."""
+    violated = False
+
+    def transitions(values: tuple) -> list[Step]:
+        nonlocal violated
+        state = State(*values)
+        violated = violated or not all(
+            holds(state._asdict()) for holds in POOL_INVARIANTS.values()
+        )
+        return [] if violated else list(steps(state, variant))
+
+    return Protocol(
+        name=variant.value,
+        candidate=False,
+        fields=State._fields,
+        initial=initial(),
+        transitions=transitions,
+        invariants=POOL_INVARIANTS,
+    )
+
+
+__all__ = ["POOL_INVARIANTS", "PoolVariant", "pool_model"]
--- /dev/null
+++ b/spec/resend_timing.py
@@ -0,0 +1,131 @@
+"""Specify how soon the runs of a job end whose coordinator is not heard any more.
+
+A client sends a job again `RESEND` after its connection broke or it was told 502 or
+504, and the new try may run anywhere. By then no run of the first try may be at work.
+Meanwhile the owner that keeps the runs may die, and another may take over just before
+their lease ends. Time goes in ticks of 20 ms; the intervals are those of the code.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING, NamedTuple
+
+from minicheck import Protocol
+
+from brasstray.coordinator.timing import CoordinatorTiming
+from brasstray.pool.timing import PoolTiming
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+TICK = timedelta(milliseconds=20)
+RESEND = timedelta(milliseconds=1_300)
+
+
+@dataclass(frozen=True)
+class Intervals:
+    """Hold the intervals in ticks, rounded against us.
+
+    `heard_until_told` is how long after the owner last heard it the coordinator tells
+    its caller that the job is given up.
+    """
+
+    requester_silence: int
+    lease: int
+    orphan_patience: int
+    stop_time: int
+    heard_until_told: int
+    resend: int
+
+
+def designed() -> Intervals:
+    """Return the intervals that the code works by."""
+    pool, coordinator = PoolTiming(), CoordinatorTiming()
+    slowest = pool.lease / (1 - pool.clock_rate_error)
+    return Intervals(
+        requester_silence=_ticks(pool.requester_silence),
+        lease=_ticks(slowest),
+        orphan_patience=_ticks(pool.orphan_patience + pool.settle_patience),
+        stop_time=_ticks(pool.stop_time),
+        heard_until_told=coordinator.lost_patience // TICK,
+        resend=RESEND // TICK,
+    )
+
+
+def _ticks(interval: timedelta) -> int:
+    return -(-interval // TICK)
+
+
+class State(NamedTuple):
+    """What is left until each thing happens, in ticks; None: it does not come.
+
+    `owner` is "first", "dead" or "second". `running` is false once the run has ended.
+    """
+
+    owner: str
+    silence_left: int
+    lease_left: int
+    orphan_left: int | None
+    stop_left: int | None
+    resend_left: int
+    running: bool
+
+
+def initial(intervals: Intervals) -> State:
+    """Return the moment at which the owner has last heard the coordinator."""
+    return State(
+        "first",
+        intervals.requester_silence,
+        intervals.lease,
+        None,
+        None,
+        intervals.heard_until_told + intervals.resend,
+        True,
+    )
+
+
+def steps(s: State, intervals: Intervals) -> Iterator[tuple[str, State]]:
+    """Yield what may happen at this moment, and the passing of a tick."""
+    if s.owner == "first":
+        # Its last hold may have been sent at the moment of its death.
+        dead = s._replace(owner="dead", lease_left=intervals.lease, stop_left=None)
+        yield "the owner dies", dead
+    if s.owner == "dead" and s.running:
+        taken = s._replace(owner="second", orphan_left=intervals.orphan_patience)
+        yield "another takes over", taken
+    if s.resend_left > 0:
+        yield "a tick passes", _tick(s, intervals)
+
+
+def _tick(s: State, intervals: Intervals) -> State:
+    silence = max(0, s.silence_left - 1)
+    lease = intervals.lease if s.owner != "dead" else max(0, s.lease_left - 1)
+    orphan = None if s.orphan_left is None else max(0, s.orphan_left - 1)
+    stop = None if s.stop_left is None else max(0, s.stop_left - 1)
+    due = (s.owner == "first" and silence == 0) or (s.owner == "second" and orphan == 0)
+    if due and stop is None:
+        stop = intervals.stop_time
+    running = s.running and lease > 0 and stop != 0
+    return State(s.owner, silence, lease, orphan, stop, s.resend_left - 1, running)
+
+
+def ended_before_resend(s: dict) -> bool:
+    """When the job is sent again, no run of the first try is at work."""
+    return s["resend_left"] > 0 or not s["running"]
+
+
+def resend_model(intervals: Intervals) -> Protocol:
+    """Return the model for `intervals`."""
+    return Protocol(
+        name=str(intervals),
+        candidate=False,
+        fields=State._fields,
+        initial=initial(intervals),
+        transitions=lambda values: list(steps(State(*values), intervals)),
+        invariants={"ended_before_resend": ended_before_resend},
+    )
+
+
+__all__ = ["Intervals", "designed", "resend_model"]
--- a/src/brasstray/host/ownership.py
+++ b/src/brasstray/host/ownership.py
@@ -85,6 +85,15 @@
         self._token_left = max(self._token_left, self._token_held)
         self._token_held = 0
 
+    async def confirm(self, owned: OwnedPool) -> bool:
+        """Tell whether the store says that the pool is still owned as `owned` says."""
+        try:
+            entry = await self._store.get(pool_key(self._pool))
+        except StoreUnavailableError as error:
+            self._events.store_lost("pools", str(error))
+            return False
+        return entry is not None and entry.version == owned.token
+
     async def follow(self) -> None:
         """Follow the store's entries until cancelled."""
         while True:
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -175,6 +175,7 @@
             self._remote_factor,
             self._directory,
             self._events,
+            lambda: self._ownership.confirm(owned),
         )
         self._events.pool_taken(self._pool, owned.token, "claimed")
         self._owner_scope = anyio.CancelScope()
--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -146,7 +146,7 @@
             left = self._lease.lapse_wait(self._clock.monotonic())
             if left <= _NO_WAIT and not lapsed:
                 lapsed = True
-                self._owner.lose_minion(self._minion, gone=False)
+                await self._owner.lapse_minion(self._minion)
             try:
                 await self._look(lease=False, wait=_NO_WAIT)
             except MinionSilentError:
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -27,7 +27,7 @@
 from brasstray.pool.straggling import SIBLINGS_PATIENCE, pace, straggles
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Awaitable, Callable, Iterable
 
     from anyio.abc import TaskGroup
 
@@ -79,6 +79,7 @@
         remote_factor: float,
         others: OtherPools,
         events: OwnerEvents,
+        confirm: Callable[[], Awaitable[bool]],
     ) -> None:
         self._pool = pool
         self._token = token
@@ -87,6 +88,7 @@
         self._timing = timing
         self._others = others
         self._events = events
+        self._confirm = confirm
         self._durations = Durations(remote_factor)
         self._sessions: dict[MinionId, MinionSession] = {}
         self._missing_since: dict[MinionId, timedelta] = {}
@@ -221,15 +223,7 @@
         # Guards against a second run beside one that goes on where this owner does
         # not reach and an earlier one may: nobody can tell, so the job is given up.
         for task in claimed:
-            del step.tasks[task.name.index]
-        indices = tuple(task.name.index for task in claimed)
-        self._events.dropped(step, "in_doubt")
-        step.requester.tell(
-            TasksReturned(
-                batch=step.batch, step=step.step, indices=indices, in_doubt=True
-            )
-        )
-        self._forget_if_empty(step)
+            self._give_up(task)
 
     def _stop_unclaimed(self) -> None:
         for session in self._sessions.values():
@@ -660,6 +654,32 @@
         self._events.reach_changed(minion)
         self.dispatch()
 
+    async def lapse_minion(self, minion: Minion) -> None:
+        """Take note that every lease that this owner gave to `minion` is over.
+
+        Guards against a successor that this owner has not heard of: it may have reached
+        the minion and extended the lease of the runs there. Unless the store confirms,
+        after the lapse, that nobody has taken the pool, their tasks are not started
+        elsewhere but given back as in doubt.
+        """
+        if minion.runs and not await self._confirm():
+            for record in list(minion.runs.values()):
+                minion.remove(record)
+                if record.task is not None:
+                    self._give_up(record.task)
+        self.lose_minion(minion, gone=False)
+
+    def _give_up(self, task: PoolTask) -> None:
+        step, index = task.of, task.name.index
+        del step.tasks[index]
+        self._events.dropped(step, "in_doubt")
+        step.requester.tell(
+            TasksReturned(
+                batch=step.batch, step=step.step, indices=(index,), in_doubt=True
+            )
+        )
+        self._forget_if_empty(step)
+
     def lose_minion(self, minion: Minion, *, gone: bool) -> None:
         """Take note that all runs on `minion` have ended for sure."""
         if gone:
--- a/tests/host/test_pool_failures.py
+++ b/tests/host/test_pool_failures.py
@@ -313,6 +313,35 @@
     assert system.book.broken == []
 
 
+def test_an_owner_that_was_replaced_does_not_run_lapsed_tasks_again(play_pools):
+    # The owner of a pool is cut off from the store, the other hosts and one minion,
+    # which runs a task for a caller of that host. Its successor reaches that minion,
+    # and extends the lease of what it finds, but not the other minion. The first owner
+    # takes the lease for over and starts the task on the other minion, beside itself.
+    size = PoolSystemSize(data_centres=1, minions_each=2)
+
+    async def story(system):
+        system.book.usual = Work(USUAL_NEEDS, ms(4_000))
+        name = system.owner()
+        async with anyio.create_task_group() as group:
+            load = Load(system, group, width=1)
+            group.start_soon(load.submit, "a" * 16, name)
+            await system.clock.sleep(ms(50))
+            at_work = [m.entry.id for m in system.places.values() if m.running]
+            for host, running in system.hosts.items():
+                cut = (
+                    set(at_work) if host == name else set(system.places) - set(at_work)
+                )
+                running.calls.cut |= cut
+            system.network.cut({name: 1})
+            system.store.cut.add(name)
+            await system.clock.sleep(2 * SECOND)
+            group.cancel_scope.cancel()
+
+    _, system = play_pools(story, size)
+    assert system.book.broken == []
+
+
 def test_wide_jobs_spill_to_the_other_data_centre(play_pools):
     # A job is wider than its data centre has room for: the rest of its tasks go to
     # another one that has, instead of waiting for a second round.
