--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -5,6 +5,8 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+import anyio
+
 from brasstray.pool.errors import (
     FencedError,
     MinionGoneError,
@@ -58,6 +60,7 @@
         self._group = group
         self._lease = LeaseClock(timing)
         self._acknowledged = 0
+        self._scope = anyio.CancelScope()
         self._unanswered_at: timedelta | None = None
         self._newest_look_ms = 0
         self._unsettled: set[tuple[TaskName, RunNumber]] = set()
@@ -68,20 +71,29 @@
         return self._minion
 
     async def run(self) -> None:
-        """Keep the minion until another incarnation responds or a token fences us."""
+        """Keep the minion until it has gone, a token fences us, or `end` is called."""
         try:
-            while True:
-                try:
-                    await self._settle_all()
-                    await self._keep()
-                except MinionSilentError:
-                    await self._await_lapse()
+            with self._scope:
+                await self._run()
         except MinionGoneError:
             self._owner.lose_minion(self._minion, gone=True)
         except FencedError:
             self._owner.depose(self._minion)
         finally:
-            await self._calls.forget(self._minion.entry)
+            with anyio.CancelScope(shield=True):
+                await self._calls.forget(self._minion.entry)
+
+    def end(self) -> None:
+        """Look at the minion no more: it has left the list for good."""
+        self._scope.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                await self._settle_all()
+                await self._keep()
+            except MinionSilentError:
+                await self._await_lapse()
 
     async def _settle_all(self) -> None:
         # Guards against a start whose response was lost and that arrives seconds
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -176,6 +176,7 @@
         if session.minion.runs and session.minion.reach is Reach.HELD:
             return
         self.lose_minion(session.minion, gone=True)
+        session.end()
         del self._sessions[minion_id]
         del self._missing_since[minion_id]
         self._durations.forget(minion_id)
--- a/src/brasstray_standins/leased_minions.py
+++ b/src/brasstray_standins/leased_minions.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from datetime import timedelta
 from typing import TYPE_CHECKING, TypeVar
 
@@ -31,7 +32,7 @@
 class LeasedMinions:
     """Call the minions of `places`; faults concern this caller only.
 
-    `cut` minions hear nothing. `swallowed` counts answers that are still to be lost.
+    `cut` minions hear nothing, and `calls` counts the calls to each. `swallowed` counts answers that are still to be lost.
     `late` holds back that many starts for `lateness`, unanswered, and then has them
     carried out.
     """
@@ -44,6 +45,7 @@
         gate: Gate | None = None,
     ) -> None:
         self.cut: set[MinionId] = set()
+        self.calls: Counter[MinionId] = Counter()
         self.swallowed = 0
         self.late = 0
         self.lateness = timedelta(seconds=3)
@@ -127,6 +129,7 @@
         patience: timedelta,
     ) -> _T:
         await self._gate.wait()
+        self.calls[minion.id] += 1
         with anyio.move_on_after(patience.total_seconds()):
             await self._clock.sleep(ONE_WAY)
             place = self._places[minion.id]
--- a/tests/host/test_pool_failures.py
+++ b/tests/host/test_pool_failures.py
@@ -413,6 +413,24 @@
     assert not any(drained)
 
 
+def test_a_minion_that_has_left_is_not_called_any_more(play_pools):
+    # A minion crashes for good and its entry goes. Its owner asks for it for a while,
+    # as it may come back, and then forgets it: otherwise each minion that was ever
+    # replaced would be called ten times a second for as long as the host runs.
+    async def story(system):
+        minion = system.places["dc0-m1"]
+        minion.crash()
+        system.listed.remove(minion.entry)
+        await system.clock.sleep(5 * SECOND)
+        calls = system.hosts[system.owner()].calls.calls
+        before = calls[minion.entry.id]
+        await system.clock.sleep(2 * SECOND)
+        return calls[minion.entry.id] - before
+
+    more, _ = play_pools(story)
+    assert more == 0
+
+
 def test_a_newer_configuration_reaches_a_host_without_the_store(play_pools):
     # One host cannot reach the store when the operator changes the configuration. It
     # hears of it from the owner of its pool, and never goes back to the older one.
