Keep the pool of a leaving host until another has taken it

Ruled out: the takeover itself, which worked before and after the cut. Change: the owner asks for a successor and goes on until a higher token is met.

--- a/src/brasstray/daemon/pool_daemon.py
+++ b/src/brasstray/daemon/pool_daemon.py
@@ -158,6 +158,11 @@
                     grace_seconds=settings.stop.grace_seconds,
                 )
 
+    @property
+    def _busy(self) -> bool:
+        """Tell whether callers wait here, or minions have nobody else to order them."""
+        return bool(self._host.coordinator.active) or self._host.owner is not None
+
     async def _drain_on_signal(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             async for number in signals:
@@ -168,7 +173,7 @@
         grace = timedelta(seconds=self._settings.stop.grace_seconds)
         await self._clock.sleep(min(ROTATION_TIME, grace / 2))
         last = started + grace - EXIT_MARGIN
-        while self._host.coordinator.active and self._clock.monotonic() < last:
+        while self._busy and self._clock.monotonic() < last:
             await self._clock.sleep(timedelta(milliseconds=20))
         self._front.stop()
 
--- a/src/brasstray/host/ownership.py
+++ b/src/brasstray/host/ownership.py
@@ -176,7 +176,7 @@
             return True
         if owned.owner.host == self._identity.host:
             return True
-        if self._directory.denied(self._pool):
+        if self._directory.given_up(self._pool):
             return True
         return self._directory.lost_for(self._pool) is not None
 
--- a/src/brasstray/host/pool_directory.py
+++ b/src/brasstray/host/pool_directory.py
@@ -73,10 +73,10 @@
         link = self._links.get(pool)
         return None if link is None else link.lost_for(self._clock.monotonic())
 
-    def denied(self, pool: PoolId) -> bool:
-        """Tell whether the listed owner of `pool` says that it is not."""
+    def given_up(self, pool: PoolId) -> bool:
+        """Tell whether the listed owner of `pool` is not, or wants to be no more."""
         link = self._links.get(pool)
-        return link is not None and link.denied
+        return link is not None and (link.denied or link.resigning)
 
     def learn(self, pool: PoolId, owned: OwnedPool | None) -> None:
         """Take note of who owns `pool`; older news than what is known are ignored."""
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -153,17 +153,17 @@
             group.start_soon(self._push_loads)
 
     def drain(self) -> None:
-        """Leave the pool to another host; go on with the jobs at work here."""
+        """Have another host take the pool; go on with the jobs at work here.
+
+        Guards against a pool without an owner: while the store is out of reach nobody
+        can take it, and this host goes on until somebody has.
+        """
         if self._draining:
             return
         self._draining = True
         self._events.draining()
         self._ownership.drain()
-        if any(
-            link.data_centre == self._identity.data_centre for link in self._requesters
-        ):
-            self._ownership.drop()
-            self._leave_pool("draining")
+        self._tell_state_to_all()
 
     # Owning
 
@@ -230,6 +230,9 @@
         """
         told = 0
         while True:
+            if self._owner is None:
+                await self._clock.sleep(self._timing.ping)
+                continue
             await self._clock.sleep(self._timing.load_push)
             places = self._load().places
             if places > told or (told and not places):
@@ -252,6 +255,7 @@
             places=load.places,
             wait_ms=load.wait_ms,
             ready=owner is not None and owner.settled,
+            resigning=self._draining,
             config_version=self._config.version,
         )
 
--- a/src/brasstray/host/pool_link.py
+++ b/src/brasstray/host/pool_link.py
@@ -77,6 +77,11 @@
         """Tell whether the process there has said that it does not own the pool."""
         return self._denied
 
+    @property
+    def resigning(self) -> bool:
+        """Tell whether the owner wants another host to take the pool."""
+        return self._state is not None and self._state.resigning
+
     def lost_for(self, now: timedelta) -> timedelta | None:
         """Return for how long the owner has been out of reach; None if it is not."""
         return None if self._state is not None else now - self._lost_at
--- a/src/brasstray/host/timing.py
+++ b/src/brasstray/host/timing.py
@@ -24,7 +24,7 @@
     `freeze` is how long this process must have stood still to distrust what it knows.
     """
 
-    ping: timedelta = _ms(120)
+    ping: timedelta = _ms(150)
     owner_silence: timedelta = _ms(400)
     reconnect: timedelta = _ms(30)
     vacancy_patience: timedelta = _ms(60)
--- a/tests/host/test_pool_failures.py
+++ b/tests/host/test_pool_failures.py
@@ -112,6 +112,28 @@
     assert load.succeeded >= 97
 
 
+def test_the_owner_leaves_while_nobody_can_take_its_pool(play_pools):
+    # A data centre is cut off from the store just as the host that orders its minions
+    # is told to leave. If it left at once, nobody could take its place and all callers
+    # of the data centre would be refused; it stays until it has a successor.
+    async def story(system):
+        async def strike():
+            system.store.down = True
+            system.hosts[system.owner()].host.drain()
+            await system.clock.sleep(2 * SECOND)
+            system.store.down = False
+            await system.clock.sleep(SECOND)
+
+        name = system.owner()
+        load = await under_load(system, strike)
+        return load, name, system.owner()
+
+    (load, before, after), system = play_pools(story)
+    assert load.succeeded == 100
+    assert after != before
+    assert system.book.broken == []
+
+
 @pytest.mark.parametrize("seconds", [1, 4])
 def test_the_store_is_away(play_pools, seconds):
     # The platform's store answers nobody for seconds. Owners go on under their tokens,
