Hand the list of minions on to whoever takes a pool over

A data centre came back from a cut; the entries of six of its eight minions had lapsed and were not back yet. The new owner took the list of two for complete and started claimed tasks that ran on the others. Change: owners tell the hosts of their data centre which minions they hold; a successor reaches all of them first. One that has heard of none gives claimed tasks back in doubt. Test: the story on the virtual clock, failing before, for both kinds of successor.

--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -16,6 +16,7 @@
 from brasstray.peer.message.config_text import ConfigText
 from brasstray.peer.message.hello import Hello
 from brasstray.peer.message.ping import Ping
+from brasstray.peer.message.pool_minions import PoolMinions
 from brasstray.peer.message.pool_state import PoolState
 from brasstray.peer.message.run_tasks import RunTasks
 from brasstray.peer.message.stop_tasks import StopTasks
@@ -35,6 +36,7 @@
     from brasstray.host.timing import HostTiming
     from brasstray.peer.message_stream import MessageStream
     from brasstray.peer.pool_messages import PoolMessage
+    from brasstray.pool.minion_entry import MinionEntry
 
 _MILLISECOND = timedelta(milliseconds=1)
 
@@ -100,6 +102,7 @@
         self._requesters: set[RequesterLink] = set()
         self._group: TaskGroup | None = None
         self._draining = False
+        self._held_minions: tuple[MinionEntry, ...] | None = None
 
     @property
     def identity(self) -> HostIdentity:
@@ -181,6 +184,7 @@
             self._directory,
             self._events,
             lambda: self._ownership.confirm(owned),
+            self._held_minions,
         )
         self._events.pool_taken(self._pool, owned.token, "claimed")
         self._owner_scope = anyio.CancelScope()
@@ -204,11 +208,26 @@
             try:
                 centre = self._identity.data_centre
                 owner.list_minions(await self._outside.minion_list.minions(centre))
+                self._tell_minions(owner)
                 self._events.store_back("minions")
             except StoreUnavailableError as error:
                 self._events.store_lost("minions", str(error))
             await self._clock.sleep(self._timing.pool.list_interval)
 
+    def _tell_minions(self, owner: PoolOwner) -> None:
+        """Tell the hosts that may take the pool over which minions it has."""
+        held = tuple(minion.entry for minion in owner.minions)
+        if held == self._held_minions:
+            return
+        self._held_minions = held
+        for link in self._requesters:
+            self._tell_minions_to(link)
+
+    def _tell_minions_to(self, link: RequesterLink) -> None:
+        same_centre = link.data_centre == self._identity.data_centre
+        if same_centre and self._owner is not None and self._held_minions is not None:
+            link.tell(PoolMinions(minions=self._held_minions))
+
     def _leave_pool(self, why: str) -> None:
         owner, self._owner = self._owner, None
         if owner is None or self._owner_scope is None:
@@ -283,6 +302,7 @@
         match message:
             case Hello():
                 link.introduce(message)
+                self._tell_minions_to(link)
                 self._events.requester_up(link.name)
                 self._compare_config(link, message.config_version)
             case Ping():
@@ -324,6 +344,8 @@
                     current = self._config.current
                     assert current is not None
                     self._directory.tell(pool, ConfigText(text=current.text))
+            case PoolMinions() if pool == self._pool:
+                self._held_minions = message.minions
             case ConfigText():
                 self._config.adopt_text(message.text, str(pool))
 
--- a/src/brasstray/peer/message/pool_state.py
+++ b/src/brasstray/peer/message/pool_state.py
@@ -12,8 +12,8 @@
     """Tell which pool the sender owns, if any, and how much room it has.
 
     `places` is how many usual tasks could start now. `wait_ms` is how long a new task
-    would wait. `ready` is false until the owner knows what its minions run; `resigning` asks another
-    host to take the pool.
+    would wait. `ready` is false until the owner knows what its minions run. `resigning`
+    asks another host to take the pool.
     """
 
     kind: Literal["pool_state"] = "pool_state"
--- a/src/brasstray/peer/pool_messages.py
+++ b/src/brasstray/peer/pool_messages.py
@@ -11,6 +11,7 @@
 from brasstray.peer.message.config_text import ConfigText
 from brasstray.peer.message.hello import Hello
 from brasstray.peer.message.ping import Ping
+from brasstray.peer.message.pool_minions import PoolMinions
 from brasstray.peer.message.pool_state import PoolState
 from brasstray.peer.message.run_tasks import RunTasks
 from brasstray.peer.message.stop_tasks import StopTasks
@@ -22,6 +23,7 @@
     | Ping
     | ConfigText
     | PoolState
+    | PoolMinions
     | RunTasks
     | StopTasks
     | TasksEnded
--- a/src/brasstray/pool/minion_entry.py
+++ b/src/brasstray/pool/minion_entry.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
 
-if TYPE_CHECKING:
-    from brasstray.batch.resources import Resources
-    from brasstray.job.ids import DataCentreName, MinionId, ServiceName
+# Imported also at run time: messages between hosts carry entries, and check them.
+from brasstray.batch.resources import Resources
+from brasstray.job.ids import DataCentreName, MinionId, ServiceName
 
 
 @dataclass(frozen=True)
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -65,6 +65,7 @@
         others: OtherPools,
         events: OwnerEvents,
         confirm: Callable[[], Awaitable[bool]],
+        inherited: Iterable[MinionEntry] | None,
     ) -> None:
         self._pool = pool
         self._token = token
@@ -73,6 +74,7 @@
         self._timing = timing
         self._events = events
         self._confirm = confirm
+        self._inherited = None if inherited is None else list(inherited)
         self._durations = Durations(remote_factor)
         self._sessions: dict[MinionId, MinionSession] = {}
         self._missing_since: dict[MinionId, timedelta] = {}
@@ -119,6 +121,7 @@
         """Own the pool until deposed or cancelled."""
         async with anyio.create_task_group() as group:
             self._group = group
+            self._add_inherited()
             group.start_soon(self._settle)
             group.start_soon(self._watch_time)
             try:
@@ -157,6 +160,17 @@
         self._listed.set()
         self.dispatch()
 
+    def _add_inherited(self) -> None:
+        """Take the minions that the last owner held.
+
+        Guards against a list from which the entries of living minions have lapsed, as
+        after a cut: what runs there would be started again elsewhere.
+        """
+        now = self._clock.monotonic()
+        for entry in self._inherited or ():
+            self._add(entry)
+            self._missing_since[entry.id] = now
+
     def _add(self, entry: MinionEntry) -> None:
         assert self._group is not None
         session = MinionSession(
@@ -189,7 +203,10 @@
             if all(m.reach is not Reach.NEW for m in self.minions):
                 break
             await self._clock.sleep(5 * _MILLISECOND)
-        out_of_reach = any(m.reach is Reach.NEW for m in self.minions)
+        # Without the last owner's list nobody can say that a claimed task runs nowhere.
+        out_of_reach = self._inherited is None or any(
+            m.reach is Reach.NEW for m in self.minions
+        )
         self._settled = True
         for step in self._book.steps:
             self._settle_claims(step, out_of_reach)
--- a/src/brasstray_standins/leased_minions.py
+++ b/src/brasstray_standins/leased_minions.py
@@ -32,9 +32,9 @@
 class LeasedMinions:
     """Call the minions of `places`; faults concern this caller only.
 
-    `cut` minions hear nothing, and `calls` counts the calls to each. `swallowed` counts answers that are still to be lost.
-    `late` holds back that many starts for `lateness`, unanswered, and then has them
-    carried out.
+    `cut` minions hear nothing, and `calls` counts the calls to each. `swallowed` counts
+    answers that are still to be lost. `late` holds back that many starts for
+    `lateness`, unanswered, and then has them carried out.
     """
 
     def __init__(
--- a/tests/host/test_pool_failures.py
+++ b/tests/host/test_pool_failures.py
@@ -335,6 +335,38 @@
     assert system.book.broken == []
 
 
+@pytest.mark.parametrize("newcomer", [False, True])
+def test_minions_missing_from_the_list_may_still_run_tasks(play_pools, newcomer):
+    # A data centre was cut off from the store, and the entries of most of its minions
+    # have lapsed. Its owner leaves before they are back. The successor reads a list of
+    # one minion: if it takes that for all there are, it starts the tasks of a waiting
+    # job beside those that go on elsewhere.
+    size = PoolSystemSize(data_centres=1, hosts_each=2)
+
+    async def story(system):
+        system.book.usual = Work(USUAL_NEEDS, ms(1_500))
+        name, other = system.owner(), system.other()
+        async with anyio.create_task_group() as group:
+            load = Load(system, group, width=4)
+            group.start_soon(load.submit, "a" * 16, other)
+            await system.clock.sleep(ms(100))
+            idle = next(m for m in system.places.values() if not m.running)
+            system.listed[:] = [idle.entry]
+            await system.clock.sleep(ms(600))
+            if newcomer:
+                system.hosts[other].host.drain()
+                system.start("dc0-h9", "dc0")
+            system.kill(name)
+            await system.clock.sleep(2 * SECOND)
+        return load
+
+    load, system = play_pools(story, size)
+    assert system.book.broken == []
+    if not newcomer:
+        assert load.succeeded == 1
+        assert len(system.book.starts) == 4
+
+
 def test_an_owner_that_was_replaced_does_not_run_lapsed_tasks_again(play_pools):
     # The owner of a pool is cut off from the store, the other hosts and one minion,
     # which runs a task for a caller of that host. Its successor reaches that minion,
