--- a/src/brasstray/daemon/pool_daemon.py
+++ b/src/brasstray/daemon/pool_daemon.py
@@ -31,6 +31,7 @@
 from brasstray.platform.platform_minions import PlatformMinions
 from brasstray.platform.platform_store import PlatformStore
 from brasstray.platform.ready_app import ReadyApp
+from brasstray.pool.timing import PoolTiming
 from brasstray.settings.pool_settings import read_pool_settings
 
 if TYPE_CHECKING:
@@ -39,7 +40,7 @@
     from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 
     from brasstray.metrics.pool_metrics import PoolMetrics
-    from brasstray.settings.pool_settings import PoolSettings
+    from brasstray.settings.pool_settings import MinionsSection, PoolSettings
 
 STANDARD_OUTPUT = 1
 # A changed file is in force as soon as a changed configuration must be, 2 s.
@@ -47,6 +48,11 @@
 # How long callers go on coming after this host has said that it is not ready: the
 # platform asks once a second and takes a host out after two misses.
 ROTATION_TIME = timedelta(seconds=2.5)
+# The share of the longest lease that is asked for: a longer one is cut to the bound, and
+# would be reckoned to end later than it does.
+LEASE_SHARE = 0.8
+# A stop is waited for this many times as long as it may take, for the way there and back.
+STOP_MARGIN = 1.2
 # What is left of the grace period when this host stops waiting for its jobs.
 EXIT_MARGIN = timedelta(seconds=0.7)
 
@@ -91,7 +97,10 @@
             EventLog(metrics),
         )
         self._host = PoolHost(
-            identity, outside, HostTiming(), settings.minions.remote_factor
+            identity,
+            outside,
+            HostTiming(pool=pool_timing(settings.minions)),
+            settings.minions.remote_factor,
         )
         self._front = HttpServer(FrontApp(self._host))
         self._ready = HttpServer(ReadyApp(self._host))
@@ -178,9 +187,18 @@
         self._front.stop()
 
 
+def pool_timing(minions: MinionsSection) -> PoolTiming:
+    """Return the intervals that fit what minions grant and how fast they stop."""
+    millisecond = timedelta(milliseconds=1)
+    return PoolTiming(
+        lease=minions.lease_ms * millisecond * LEASE_SHARE,
+        stop_time=minions.stop_ms * millisecond * STOP_MARGIN,
+    )
+
+
 def uptime() -> timedelta:
     """Return a steady time that goes on while the machine is suspended."""
     return timedelta(seconds=time.clock_gettime(time.CLOCK_BOOTTIME))
 
 
-__all__ = ["PoolDaemon", "uptime"]
+__all__ = ["PoolDaemon", "pool_timing", "uptime"]
--- a/src/brasstray/settings/pool_settings.py
+++ b/src/brasstray/settings/pool_settings.py
@@ -96,4 +96,4 @@
     return Ok(PoolSettings(**sections))  # type: ignore[arg-type]
 
 
-__all__ = ["PoolSettings", "read_pool_settings"]
+__all__ = ["MinionsSection", "PoolSettings", "read_pool_settings"]
