--- a/src/brasstray/daemon/pool_daemon.py
+++ b/src/brasstray/daemon/pool_daemon.py
@@ -48,10 +48,10 @@
 # How long callers go on coming after this host has said that it is not ready: the
 # platform asks once a second and takes a host out after two misses.
 ROTATION_TIME = timedelta(seconds=2.5)
-# The share of the longest lease that is asked for: a longer one is cut to the bound, and
-# would be reckoned to end later than it does.
+# The share of the longest lease that is asked for: a longer one is cut to the bound,
+# and would be reckoned to end later than it does.
 LEASE_SHARE = 0.8
-# A stop is waited for this many times as long as it may take, for the way there and back.
+# A stop is waited for this many times as long as it may take: there is the way as well.
 STOP_MARGIN = 1.2
 # What is left of the grace period when this host stops waiting for its jobs.
 EXIT_MARGIN = timedelta(seconds=0.7)
