Build both models with one function, and drop what nothing calls

Cause: the search that ends at the first violation stood in both models of spec/; a property, a parameter that was deleted on entry and a wrapper around a type had no use. Behaviour is the same.

--- a/spec/job_protocol.py
+++ b/spec/job_protocol.py
@@ -10,14 +10,15 @@
 
 from typing import TYPE_CHECKING
 
-from minicheck import Protocol
-
+from spec.early_end import early_ending
 from spec.state import Executor, Leader, Replica, State, initial
 from spec.variant import Variant
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from minicheck import Protocol
+
 Step = tuple[str, State]
 HOSTS = ("a", "b")
 TERM = {"a": 1, "b": 2}
@@ -312,28 +313,9 @@
 
 
 def model(variant: Variant = Variant.AS_DESIGNED) -> Protocol:
-    """Return the protocol, as designed or broken, for the checker.
-
-    A search that has met a violation goes no further, so that broken variants end
-    early; one that meets none is exhaustive.
-    """
-    violated = False
-
-    def transitions(values: tuple) -> list[Step]:
-        nonlocal violated
-        state = State(*values)
-        violated = violated or not all(
-            holds(state._asdict()) for holds in INVARIANTS.values()
-        )
-        return [] if violated else list(steps(state, variant))
-
-    return Protocol(
-        name=variant.value,
-        candidate=False,
-        fields=State._fields,
-        initial=initial(),
-        transitions=transitions,
-        invariants=INVARIANTS,
+    """Return the protocol, as designed or broken, for the checker."""
+    return early_ending(
+        variant.value, State, initial(), lambda s: steps(s, variant), INVARIANTS
     )
 
 
--- a/spec/pool_protocol.py
+++ b/spec/pool_protocol.py
@@ -12,11 +12,13 @@
 from enum import Enum
 from typing import TYPE_CHECKING, NamedTuple
 
-from minicheck import Protocol
+from spec.early_end import early_ending
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from minicheck import Protocol
+
 Step = tuple[str, "State"]
 MINIONS = (0, 1)
 # Enough for a task to be sent, lost, sent elsewhere, and found by the second owner.
@@ -303,23 +305,8 @@
 
 def pool_model(variant: PoolVariant = PoolVariant.AS_DESIGNED) -> Protocol:
     """Return the protocol, as designed or broken, for the checker."""
-    violated = False
-
-    def transitions(values: tuple) -> list[Step]:
-        nonlocal violated
-        state = State(*values)
-        violated = violated or not all(
-            holds(state._asdict()) for holds in POOL_INVARIANTS.values()
-        )
-        return [] if violated else list(steps(state, variant))
-
-    return Protocol(
-        name=variant.value,
-        candidate=False,
-        fields=State._fields,
-        initial=initial(),
-        transitions=transitions,
-        invariants=POOL_INVARIANTS,
+    return early_ending(
+        variant.value, State, initial(), lambda s: steps(s, variant), POOL_INVARIANTS
     )
 
 
--- a/src/brasstray/platform/front_app.py
+++ b/src/brasstray/platform/front_app.py
@@ -10,6 +10,7 @@
 
 import anyio
 
+from brasstray.batch.ids import BatchId
 from brasstray.batch.outcome import BatchOutcome, BatchResult, GiveUpReason
 from brasstray.http.exchange import HttpResponse, header, json_response, read_body
 from brasstray.platform.job_bodies import (
@@ -19,7 +20,6 @@
 )
 
 if TYPE_CHECKING:
-    from brasstray.batch.ids import BatchId
     from brasstray.batch.queue import Queue
     from brasstray.host.pool_host import PoolHost
     from brasstray.http.exchange import Receive, Scope, Send
@@ -79,11 +79,11 @@
             case "POST", _ if _JOB_ID.fullmatch(rest):
                 return await self._submit(scope, receive, queue, rest, body)
             case "GET", _ if _JOB_ID.fullmatch(rest):
-                if self._host.coordinator.knows(_batch_id(rest)):
+                if self._host.coordinator.knows(BatchId(rest)):
                     return json_response(200, {"State": "running"})
                 return json_response(410, {})
             case "DELETE", _ if _JOB_ID.fullmatch(rest):
-                known = self._host.coordinator.cancel(_batch_id(rest))
+                known = self._host.coordinator.cancel(BatchId(rest))
                 return json_response(200 if known else 410, {})
         return json_response(
             400, {"Reason": "a job's id has 16 hexadecimal digits, in lower case"}
@@ -116,10 +116,6 @@
         return _answer(results[0]) if results else None
 
 
-def _batch_id(text: str) -> BatchId:
-    return text  # type: ignore[return-value]
-
-
 def _patience(scope: Scope) -> timedelta:
     text = header(scope, DEADLINE_HEADER)
     try:
--- a/src/brasstray/pool/lease_clock.py
+++ b/src/brasstray/pool/lease_clock.py
@@ -25,11 +25,6 @@
         self._shown_at = timedelta()
         self._latest_until_ms = 0
 
-    @property
-    def known(self) -> bool:
-        """Tell whether the clock has been seen."""
-        return self._shown_ms is not None
-
     def show(self, clock_ms: int, received: timedelta) -> None:
         """Note that a response received at `received` showed `clock_ms`."""
         self._shown_ms = clock_ms
--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -78,7 +78,7 @@
         except MinionGoneError:
             self._owner.lose_minion(self._minion, gone=True)
         except FencedError:
-            self._owner.depose(self._minion)
+            self._owner.depose()
         finally:
             with anyio.CancelScope(shield=True):
                 await self._calls.forget(self._minion.entry)
@@ -225,7 +225,7 @@
         except MinionGoneError:
             self._owner.lose_minion(self._minion, gone=True)
         except FencedError:
-            self._owner.depose(self._minion)
+            self._owner.depose()
         else:
             self._lease.show(shown, self._clock.monotonic())
             if record.state is RunState.STARTING:
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -132,9 +132,8 @@
                 self._deposed.set()
                 group.cancel_scope.cancel()
 
-    def depose(self, minion: Minion | None = None) -> None:
+    def depose(self) -> None:
         """Stop owning: another holder of the pool has been seen."""
-        del minion
         self._deposed.set()
 
     # Membership
