--- /dev/null
+++ b/measure/days/__main__.py
@@ -0,0 +1,117 @@
+"""Play the days of troubles.toml on a deployment; print a table of days and rules."""
+
+from __future__ import annotations
+
+import json
+import subprocess
+import tempfile
+import tomllib
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+
+from measure.table import as_json, markdown
+
+CATALOGUE = Path(__file__).parent / "troubles.toml"
+# Long enough for a trouble at 6 s, its end, and a quiet time after it that shows
+# whether service comes back.
+LENGTH_S = 22.0
+# A window with fewer requests tells nothing: one of them would make the minimum.
+FEWEST_REQUESTS = 20
+
+
+@dataclass(frozen=True)
+class PlayedDay:
+    """Hold what a day showed; `rules` names the rules that it broke, or is empty."""
+
+    day: str
+    rules: str
+    worth: float
+    served: float
+    refused: float
+    failed: float
+    worst_zone: float
+    worst_two_seconds: float
+
+
+def read_days(only: str) -> list[dict[str, Any]]:
+    """Return the days of the catalogue whose name contains `only`."""
+    days = tomllib.loads(CATALOGUE.read_text())["day"]
+    return [day for day in days if only in day["name"]]
+
+
+def play(bench: Path, site: Path, day: dict[str, Any], seed: int) -> PlayedDay:
+    """Play one day by the program `bench` and return what it showed."""
+    with tempfile.TemporaryDirectory() as folder:
+        text = Path(folder) / f"{day['name']}.toml"
+        report = Path(folder) / "report.json"
+        text.write_text(_day_text(day, seed))
+        command = [str(bench), "run", str(site), str(text), "--report", str(report)]
+        why = f"own day {day['name']}, seed {day['seed'] + seed}"
+        done = subprocess.run([*command, "--why", why], capture_output=True, text=True)
+        if not report.exists():
+            lines = (done.stderr or done.stdout).strip().splitlines()
+            reason = lines[-1] if lines else f"status {done.returncode}"
+            return PlayedDay(day["name"], f"not played: {reason}", *(0.0,) * 6)
+        return _played(day["name"], json.loads(report.read_text()))
+
+
+def _day_text(day: dict[str, Any], seed: int) -> str:
+    lines = [
+        f"name = {json.dumps(day['name'])}",
+        'slot = "trouble"',
+        f"seed = {day['seed'] + seed}",
+        f"length_s = {LENGTH_S}",
+        "faults = [",
+        *("  " + _inline(fault) + "," for fault in day["faults"]),
+        "]",
+    ]
+    return "\n".join(lines) + "\n"
+
+
+def _inline(fault: dict[str, Any]) -> str:
+    return "{ " + ", ".join(f"{k} = {json.dumps(v)}" for k, v in fault.items()) + " }"
+
+
+def _played(name: str, report: dict[str, Any]) -> PlayedDay:
+    broken = [f"{rule} {count}" for rule, count in report["breaks"].items()]
+    if report["fault"]:
+        broken.append(f"fault: {report['fault']}")
+    zones = [zone["worth"] for zone in report["zones"]]
+    windows = [w["worth"] for w in report["windows"] if w["n"] >= FEWEST_REQUESTS]
+    return PlayedDay(
+        name,
+        ", ".join(broken),
+        report["G"],
+        report["served"],
+        report["refused"],
+        report["failed"],
+        min(zones, default=0.0),
+        min(windows, default=0.0),
+    )
+
+
+def main(
+    bench: Annotated[Path, typer.Argument(help="The program that plays days.")],
+    site: Annotated[Path, typer.Argument(help="The deployment's file.")],
+    only: Annotated[str, typer.Option(help="Play days whose name has this.")] = "",
+    jobs: Annotated[int, typer.Option(help="How many days at a time.")] = 4,
+    seed: Annotated[int, typer.Option(help="Added to each day's seed.")] = 0,
+    json_: Annotated[bool, typer.Option("--json", help="Print JSON.")] = False,
+) -> None:
+    """Play every day on `site`; end with status 1 if one broke a rule."""
+    days = read_days(only)
+    with ThreadPoolExecutor(jobs) as pool:
+        rows = list(pool.map(lambda day: play(bench, site, day, seed), days))
+    typer.echo(as_json(rows) if json_ else markdown(rows))
+    if any(row.rules for row in rows):
+        raise typer.Exit(1)
+
+
+if __name__ == "__main__":
+    app = typer.Typer(pretty_exceptions_enable=False)
+    app.command()(main)
+    app()
