Explain a request from its id, and show what a host owns and believes

`brasstray host URL` prints role, token, minions, peers and versions from /status of the metrics address. `settings check` takes the files of both daemons.

--- /dev/null
+++ b/src/brasstray/command/host.py
@@ -0,0 +1,81 @@
+"""Show what a host of the platform does and believes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Annotated
+
+import httpcore
+import typer
+from pydantic import ValidationError
+
+from brasstray.command.exit_status import ExitStatus
+from brasstray.command.options import Json
+from brasstray.host.host_status import HostStatus
+from brasstray.http.metrics_app import STATUS_PATH
+
+if TYPE_CHECKING:
+    from brasstray.host.host_status import OwnedPoolStatus
+
+# A host answers within milliseconds, or is in trouble.
+PATIENCE_SECONDS = 5.0
+
+
+def host(
+    url: Annotated[
+        str, typer.Argument(help="The host's metrics address, as http://IP:PORT.")
+    ],
+    as_json: Json = False,
+) -> None:
+    """Print a host's role, token, minions, peers and versions."""
+    found = _fetch(url.rstrip("/") + STATUS_PATH)
+    typer.echo(found.model_dump_json() if as_json else _as_text(found))
+
+
+def _fetch(url: str) -> HostStatus:
+    timeout = dict.fromkeys(("connect", "read", "write", "pool"), PATIENCE_SECONDS)
+    try:
+        response = httpcore.request("GET", url, extensions={"timeout": timeout})
+        return HostStatus.model_validate_json(response.content)
+    except (
+        httpcore.NetworkError,
+        httpcore.ProtocolError,
+        httpcore.TimeoutException,
+    ) as error:
+        typer.echo(f"{url}: not reached: {error!r}", err=True)
+    except ValidationError:
+        typer.echo(f"{url}: no host's status", err=True)
+    raise typer.Exit(ExitStatus.UNREACHABLE)
+
+
+def _as_text(found: HostStatus) -> str:
+    role = "owner and coordinator" if found.owned else "coordinator"
+    lines = [
+        f"{found.incarnation}: {found.state}, {role}",
+        f"  configuration: version {found.config_version}",
+        f"  jobs at work: {found.jobs}",
+    ]
+    if found.owned is not None:
+        lines += _pool_lines(found.owned)
+    for owner in found.owners:
+        reach = "in reach" if owner.in_reach else "out of reach"
+        lines.append(f"  {owner.pool}: {owner.host}, token {owner.token}, {reach}")
+    lines.append(f"  asked by: {', '.join(found.requesters) or 'nobody'}")
+    return "\n".join(lines)
+
+
+def _pool_lines(owned: OwnedPoolStatus) -> list[str]:
+    settled = "" if owned.settled else ", not settled"
+    lines = [
+        f"  owns {owned.pool} under token {owned.token}{settled}",
+        f"  places {owned.places}, wait {owned.wait_ms} ms",
+    ]
+    for minion in owned.minions:
+        marks = [minion.reach]
+        marks += ["draining"] * minion.draining + ["suspected"] * minion.suspected
+        free = f"{minion.free_cpu_millis / 1_000:.1f} cores, {minion.free_memory_mb} MB"
+        state = ", ".join(marks)
+        lines.append(f"  minion {minion.id}: {state}, {minion.runs} runs, free {free}")
+    return lines
+
+
+__all__ = ["host"]
--- a/src/brasstray/command/main.py
+++ b/src/brasstray/command/main.py
@@ -12,9 +12,9 @@
 
 import anyio
 import typer
-from result import Err, Ok
 
 from brasstray.command.exit_status import ExitStatus, status_of
+from brasstray.command.host import host
 from brasstray.command.options import (
     DEFAULT_CALLER,
     DEFAULT_URL,
@@ -25,7 +25,8 @@
 )
 from brasstray.command.render import answer_lines
 from brasstray.command.table import table_app
-from brasstray.settings.settings import read_settings
+from brasstray.command.trace import trace
+from brasstray.settings.check import settings_problems
 
 if TYPE_CHECKING:
     from brasstray.client.client import Client
@@ -44,6 +45,8 @@
 settings_app = typer.Typer(help="Work on settings files.", no_args_is_help=True)
 app.add_typer(settings_app, name="settings")
 app.add_typer(table_app, name="table")
+app.command()(trace)
+app.command()(host)
 
 Wait = Annotated[float, typer.Option(min=0, help="Seconds to wait for the answer.")]
 KeyArgument = Annotated[str, typer.Argument(help="The job's key.")]
@@ -130,15 +133,19 @@
 @settings_app.command("check")
 def check_settings(
     file: Annotated[Path, typer.Argument(help="The INI file to check.")],
+    as_json: Json = False,
 ) -> None:
-    """Name every wrong line of a settings file."""
-    match read_settings(file):
-        case Ok(_):
-            typer.echo(f"{file}: good")
-        case Err(problems):
-            for problem in problems:
-                typer.echo(f"{file}: {problem}", err=True)
-            raise typer.Exit(ExitStatus.BAD_USAGE)
+    """Name every wrong line of a settings file, of whichever daemon."""
+    checked = settings_problems(file)
+    if as_json:
+        typer.echo(json.dumps(checked.as_json()))
+    elif not checked.problems:
+        typer.echo(f"{file}: good, for {checked.daemon.value}")
+    else:
+        for problem in checked.problems:
+            typer.echo(f"{file}: {problem}", err=True)
+    if checked.problems:
+        raise typer.Exit(ExitStatus.BAD_USAGE)
 
 
 @app.command()
--- /dev/null
+++ b/src/brasstray/command/trace.py
@@ -0,0 +1,78 @@
+"""Explain how a request ended, from the logs of all hosts."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path
+from typing import TYPE_CHECKING, Annotated
+
+import typer
+
+from brasstray.command.exit_status import ExitStatus
+from brasstray.command.options import Json
+from brasstray.trace.errors import UnknownJobError, UnreadableLogError
+from brasstray.trace.log_reader import read_logs
+from brasstray.trace.trace import trace_job
+
+if TYPE_CHECKING:
+    from brasstray.trace.log_line import LogLine
+    from brasstray.trace.trace import Trace
+
+
+def trace(
+    job: Annotated[str, typer.Argument(help="The request's id.")],
+    files: Annotated[list[Path], typer.Argument(help="Logs of all hosts.")],
+    as_json: Json = False,
+) -> None:
+    """Print what all hosts logged of a request, and the line that decided it."""
+    try:
+        found = trace_job(job, read_logs(files))
+    except UnreadableLogError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(ExitStatus.BAD_USAGE) from error
+    except UnknownJobError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(ExitStatus.FAILED) from error
+    typer.echo(json.dumps(_as_json(found)) if as_json else _as_text(found))
+
+
+def _as_text(found: Trace) -> str:
+    rows = [
+        f"{'*' if line is found.cause.line else ' '} {_line(line)}"
+        for line in found.timeline
+    ]
+    if found.cause.line is not None and found.cause.line not in found.timeline:
+        rows.append(f"* {_line(found.cause.line)}")
+    rows.append(f"cause: {found.cause.meaning}")
+    if found.dropped:
+        rows.append(f"{found.dropped} lines were dropped; some may be missing here")
+    return "\n".join(rows)
+
+
+def _line(line: LogLine) -> str:
+    fields = " ".join(f"{name}={_value(v)}" for name, v in line.shown().items())
+    return f"{line.at:.3f} {line.host} {line.kind} {fields}"
+
+
+def _value(value: object) -> str:
+    return value if isinstance(value, str) else json.dumps(value)
+
+
+def _as_json(found: Trace) -> dict[str, object]:
+    deciding = found.cause.line
+    return {
+        "job": found.job,
+        "lines": [_line_as_json(line) for line in found.timeline],
+        "cause": {
+            "line": None if deciding is None else _line_as_json(deciding),
+            "meaning": found.cause.meaning,
+        },
+        "dropped": found.dropped,
+    }
+
+
+def _line_as_json(line: LogLine) -> dict[str, object]:
+    return {"at": line.at, "host": line.host, "kind": line.kind, **line.shown()}
+
+
+__all__ = ["trace"]
--- a/src/brasstray/daemon/pool_daemon.py
+++ b/src/brasstray/daemon/pool_daemon.py
@@ -15,6 +15,7 @@
 from brasstray.clock.loop import LoopClock
 from brasstray.host.event_log import EventLog
 from brasstray.host.gauges import observe_host
+from brasstray.host.host_status import host_status
 from brasstray.host.identity import HostIdentity
 from brasstray.host.outside import Outside
 from brasstray.host.pool_host import PoolHost
@@ -104,7 +105,7 @@
         )
         self._front = HttpServer(FrontApp(self._host))
         self._ready = HttpServer(ReadyApp(self._host))
-        self._metrics = HttpServer(MetricsApp(reader))
+        self._metrics = HttpServer(MetricsApp(reader, lambda: host_status(self._host)))
         observe_host(metrics, self._host)
 
     async def run(self) -> None:
--- /dev/null
+++ b/src/brasstray/host/host_status.py
@@ -0,0 +1,129 @@
+"""Describe for operators what a host does and believes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from pydantic import BaseModel, ConfigDict
+
+from brasstray.batch.ids import ConfigVersion, FencingToken, PoolId
+from brasstray.job.ids import HostName, IncarnationId, MinionId
+
+if TYPE_CHECKING:
+    from brasstray.host.pool_host import PoolHost
+    from brasstray.pool.minion import Minion
+    from brasstray.pool.owner import PoolOwner
+
+
+class _Status(BaseModel):
+    model_config = ConfigDict(frozen=True)
+
+
+class MinionStatus(_Status):
+    """Hold a minion of the pool; free room in thousandths of a core and megabytes."""
+
+    id: MinionId
+    reach: str
+    draining: bool
+    suspected: bool
+    runs: int
+    free_cpu_millis: int
+    free_memory_mb: int
+
+
+class OwnedPoolStatus(_Status):
+    """Hold the pool that the host owns.
+
+    `settled` tells whether it is known what its minions run; nothing starts before.
+    """
+
+    pool: PoolId
+    token: FencingToken
+    settled: bool
+    places: int
+    wait_ms: int
+    minions: tuple[MinionStatus, ...]
+
+
+class OwnerStatus(_Status):
+    """Hold the owner of a pool as the host knows it."""
+
+    pool: PoolId
+    host: HostName
+    token: FencingToken
+    in_reach: bool
+
+
+class HostStatus(_Status):
+    """Hold a host's role, its versions and its peers."""
+
+    host: HostName
+    incarnation: IncarnationId
+    state: str
+    config_version: ConfigVersion
+    jobs: int
+    owned: OwnedPoolStatus | None
+    owners: tuple[OwnerStatus, ...]
+    requesters: tuple[str, ...]
+
+
+def host_status(host: PoolHost) -> HostStatus:
+    """Return what operators see of `host`."""
+    owner = host.owner
+    return HostStatus(
+        host=host.identity.host,
+        incarnation=host.identity.incarnation,
+        state=_state(host),
+        config_version=host.config.version,
+        jobs=host.coordinator.active,
+        owned=None if owner is None else _owned(owner),
+        owners=tuple(
+            OwnerStatus(
+                pool=pool,
+                host=owned.owner.host,
+                token=owned.token,
+                in_reach=pool in host.reachable,
+            )
+            for pool, owned in sorted(host.owners.items())
+        ),
+        requesters=tuple(sorted(host.requesters)),
+    )
+
+
+def _state(host: PoolHost) -> str:
+    if host.draining:
+        return "draining"
+    return "ready" if host.ready else "not ready"
+
+
+def _owned(owner: PoolOwner) -> OwnedPoolStatus:
+    load = owner.load()
+    return OwnedPoolStatus(
+        pool=owner.pool,
+        token=owner.token,
+        settled=owner.settled,
+        places=load.places,
+        wait_ms=load.wait_ms,
+        minions=tuple(_minion(minion) for minion in owner.minions),
+    )
+
+
+def _minion(minion: Minion) -> MinionStatus:
+    return MinionStatus(
+        id=minion.entry.id,
+        reach=minion.reach.value,
+        draining=minion.entry.draining,
+        suspected=minion.health.suspected,
+        runs=len(minion.runs),
+        free_cpu_millis=minion.room.cpu_millis,
+        free_memory_mb=minion.room.memory_mb,
+    )
+
+
+__all__ = [
+    "HostStatus",
+    "MinionStatus",
+    "OwnedPoolStatus",
+    "OwnerStatus",
+    "host_status",
+]
--- a/src/brasstray/host/pool_directory.py
+++ b/src/brasstray/host/pool_directory.py
@@ -57,6 +57,11 @@
         """Run links in `group` from now on."""
         self._group = group
 
+    @property
+    def owners(self) -> dict[PoolId, OwnedPool]:
+        """Return who owns each pool, as far as the store has told."""
+        return dict(self._owned)
+
     def owned(self, pool: PoolId) -> OwnedPool | None:
         """Return who owns `pool`, as far as the store has told."""
         return self._owned.get(pool)
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -143,6 +143,21 @@
             and bool(self._directory.reachable())
         )
 
+    @property
+    def owners(self) -> dict[PoolId, OwnedPool]:
+        """Return who owns each pool, as far as is known here."""
+        return self._directory.owners
+
+    @property
+    def reachable(self) -> set[PoolId]:
+        """Return the pools whose owners are in reach."""
+        return set(self._directory.reachable())
+
+    @property
+    def requesters(self) -> list[str]:
+        """Return the hosts that have a connection to this one."""
+        return [link.name for link in self._requesters]
+
     async def run(self) -> None:
         """Serve until cancelled."""
         async with anyio.create_task_group() as group:
--- a/src/brasstray/http/metrics_app.py
+++ b/src/brasstray/http/metrics_app.py
@@ -1,4 +1,4 @@
-"""Serve counters, gauges and histograms in the text format of Prometheus."""
+"""Serve what was measured, and the host's state, to operators."""
 
 from __future__ import annotations
 
@@ -8,24 +8,39 @@
 from brasstray.metrics.prometheus_text import prometheus_text
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from opentelemetry.sdk.metrics.export import InMemoryMetricReader
+    from pydantic import BaseModel
 
     from brasstray.http.exchange import Receive, Scope, Send
 
 CONTENT_TYPE = "text/plain; version=0.0.4"
+STATUS_PATH = "/status"
 
 
 class MetricsApp:
-    """Answer each request with all that was measured since the start."""
+    """Answer with the host's state in JSON at STATUS_PATH.
+
+    At any other path all that was measured since the start is told in the text format
+    of Prometheus.
+    """
 
-    def __init__(self, reader: InMemoryMetricReader) -> None:
+    def __init__(
+        self, reader: InMemoryMetricReader, status: Callable[[], BaseModel]
+    ) -> None:
         self._reader = reader
+        self._status = status
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
-        del scope, receive
+        del receive
+        if scope["path"] == STATUS_PATH:
+            state = self._status().model_dump_json().encode()
+            await HttpResponse(200, state + b"\n").send(send)
+            return
         text = prometheus_text(self._reader.get_metrics_data())
         await HttpResponse(200, text.encode(), CONTENT_TYPE).send(send)
 
 
-__all__ = ["MetricsApp"]
+__all__ = ["STATUS_PATH", "MetricsApp"]
--- /dev/null
+++ b/src/brasstray/settings/check.py
@@ -0,0 +1,77 @@
+"""Check a settings file of either daemon."""
+
+from __future__ import annotations
+
+from configparser import ConfigParser, Error as ConfigParserError
+from dataclasses import dataclass
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from result import Err, Ok, Result
+
+from brasstray.settings.pool_settings import POOL_SECTIONS, read_pool_settings
+from brasstray.settings.settings import read_settings
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+    from brasstray.settings.pool_settings import PoolSettings
+    from brasstray.settings.problem import SettingsProblem
+    from brasstray.settings.settings import Settings
+
+
+class DaemonKind(Enum):
+    """Tell whose settings a file holds."""
+
+    ENTRY_HOST = "an entry host of the own interface"
+    POOL_HOST = "a host of the platform"
+
+
+@dataclass(frozen=True)
+class CheckedSettings:
+    """Hold whose settings a file was read as, and what is wrong with them."""
+
+    daemon: DaemonKind
+    problems: tuple[SettingsProblem, ...]
+
+    def as_json(self) -> dict[str, object]:
+        """Return what was found, for programs."""
+        return {
+            "daemon": self.daemon.name.lower(),
+            "problems": [
+                {"section": p.section, "key": p.key, "expected": p.expected}
+                for p in self.problems
+            ],
+        }
+
+
+def settings_problems(path: Path) -> CheckedSettings:
+    """Return every problem of the file; its sections tell which daemon it is for."""
+    if _is_for_pool_host(path):
+        return _checked(DaemonKind.POOL_HOST, read_pool_settings(path))
+    return _checked(DaemonKind.ENTRY_HOST, read_settings(path))
+
+
+def _is_for_pool_host(path: Path) -> bool:
+    parser = ConfigParser(interpolation=None)
+    try:
+        parser.read(path, encoding="utf-8")
+    except (UnicodeDecodeError, ConfigParserError):
+        # Whoever reads the file next says what is wrong with it.
+        return False
+    return any(parser.has_section(name) for name in POOL_SECTIONS)
+
+
+def _checked(
+    daemon: DaemonKind,
+    found: Result[PoolSettings, list[SettingsProblem]]
+    | Result[Settings, list[SettingsProblem]],
+) -> CheckedSettings:
+    match found:
+        case Ok(_):
+            return CheckedSettings(daemon, ())
+        case Err(problems):
+            return CheckedSettings(daemon, tuple(problems))
+
+
+__all__ = ["CheckedSettings", "DaemonKind", "settings_problems"]
--- a/src/brasstray/settings/pool_settings.py
+++ b/src/brasstray/settings/pool_settings.py
@@ -66,7 +66,7 @@
     stop: StopSection
 
 
-_SECTIONS: dict[str, type[BaseModel]] = {
+POOL_SECTIONS: dict[str, type[BaseModel]] = {
     "host": HostSection,
     "store": StoreSection,
     "minions": MinionsSection,
@@ -85,15 +85,15 @@
     problems: list[SettingsProblem] = []
     sections = {
         name: read_section(parser, name, kind, problems)
-        for name, kind in _SECTIONS.items()
+        for name, kind in POOL_SECTIONS.items()
     }
     for name in parser.sections():
-        if name not in _SECTIONS:
-            expected = f"one of {', '.join(_SECTIONS)}"
+        if name not in POOL_SECTIONS:
+            expected = f"one of {', '.join(POOL_SECTIONS)}"
             problems.append(SettingsProblem(name, "section", expected))
     if problems:
         return Err(problems)
     return Ok(PoolSettings(**sections))  # type: ignore[arg-type]
 
 
-__all__ = ["MinionsSection", "PoolSettings", "read_pool_settings"]
+__all__ = ["POOL_SECTIONS", "MinionsSection", "PoolSettings", "read_pool_settings"]
--- /dev/null
+++ b/src/brasstray/trace/cause.py
@@ -0,0 +1,135 @@
+"""Find the line that decided how a request ended."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from brasstray.batch.outcome import BatchOutcome, GiveUpReason
+from brasstray.pool.look import RunEnd
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Sequence
+
+    from brasstray.trace.log_line import LogLine
+
+# A lost link is noticed, and a job with tasks beyond it given up, within about 1.5 s;
+# what lies further back than this did not decide.
+LOOK_BACK_SECONDS = 5.0
+# What may have made a request late, worst first: each costs a wait before its task can
+# run elsewhere.
+_DELAYS = ("start_unanswered", "run_ended", "start_refused", "claimed", "moved")
+
+
+@dataclass(frozen=True, slots=True)
+class Cause:
+    """Hold the deciding line, if one was found, and what it means."""
+
+    line: LogLine | None
+    meaning: str
+
+
+def find_cause(timeline: Sequence[LogLine], lines: Sequence[LogLine]) -> Cause:
+    """Return what decided the request of `timeline`.
+
+    `lines` are those of all hosts: where a host lost an owner or the store, the line
+    that says so names no request.
+    """
+    answer = next((x for x in reversed(timeline) if x.kind == "answer"), None)
+    if answer is None:
+        return _without_answer(timeline)
+    outcome, reason = answer.text("outcome"), answer.text("reason")
+    if outcome == BatchOutcome.SUCCEEDED.value:
+        return _of_success(answer, timeline)
+    match reason:
+        case GiveUpReason.TASK_FAILED.value:
+            failed = _last(timeline, _ended(RunEnd.FAILED))
+            return Cause(failed, "a task failed in as many runs as it may have")
+        case GiveUpReason.OVERLOADED.value:
+            back = _last(timeline, lambda line: line.kind == "given_back")
+            meaning = "an owner foresaw that the work waiting ahead takes too long"
+            return Cause(back, meaning)
+        case GiveUpReason.NO_POOL.value:
+            lost = _before(answer, lines, ("owner_lost", "pool_left", "store_lost"))
+            return Cause(lost, "its host had no owner of any pool in reach")
+        case GiveUpReason.POOL_LOST.value:
+            return _of_lost_pool(answer, timeline, lines)
+        case GiveUpReason.TOO_LATE.value:
+            slow = _first_delay(timeline)
+            return Cause(slow, "the caller's time ran out before all tasks had ended")
+        case GiveUpReason.CALLER_GONE.value | GiveUpReason.CANCELLED.value:
+            return Cause(answer, "the caller wanted the result no more")
+        case GiveUpReason.STOPPING.value:
+            stood = _before(answer, lines, ("stood_still", "draining"))
+            return Cause(stood or answer, "its host stood still or stopped")
+    return Cause(answer, "no rule for this reason; read the lines in order")
+
+
+def _without_answer(timeline: Sequence[LogLine]) -> Cause:
+    refused = _last(timeline, lambda line: line.kind == "refused")
+    if refused is not None:
+        return Cause(refused, "refused before anything was done for it")
+    meaning = "no answer was logged: its host died, or its lines are missing"
+    return Cause(timeline[-1] if timeline else None, meaning)
+
+
+def _of_success(answer: LogLine, timeline: Sequence[LogLine]) -> Cause:
+    if answer.number("took_ms") <= answer.number("objective_ms"):
+        return Cause(answer, "answered in time")
+    delay = _first_delay(timeline)
+    if delay is None:
+        return Cause(answer, "late, with no fault: its tasks waited, or ran long")
+    return Cause(delay, "late: this cost a wait before the task could go on")
+
+
+def _of_lost_pool(
+    answer: LogLine, timeline: Sequence[LogLine], lines: Sequence[LogLine]
+) -> Cause:
+    doubt = _last(
+        timeline,
+        lambda line: line.kind == "dropped" and line.text("reason") == "in_doubt",
+    )
+    if doubt is not None:
+        return Cause(doubt, "an owner could not tell whether a task still runs")
+    unfinished = answer.fields.get("unfinished")
+    pools = set(unfinished.values()) if isinstance(unfinished, dict) else set()
+    lost = _last(
+        _back_from(answer, lines),
+        lambda line: line.kind == "owner_lost" and line.fields.get("pool") in pools,
+    )
+    return Cause(lost, "the owner of a pool with tasks of it was out of reach too long")
+
+
+def _first_delay(timeline: Sequence[LogLine]) -> LogLine | None:
+    for kind in _DELAYS:
+        for line in timeline:
+            if line.kind == kind and line.text("end") != RunEnd.DONE.value:
+                return line
+    return None
+
+
+def _ended(end: RunEnd) -> Callable[[LogLine], bool]:
+    return lambda line: line.kind == "run_ended" and line.text("end") == end.value
+
+
+def _before(
+    answer: LogLine, lines: Sequence[LogLine], kinds: tuple[str, ...]
+) -> LogLine | None:
+    return _last(_back_from(answer, lines), lambda line: line.kind in kinds)
+
+
+def _back_from(answer: LogLine, lines: Sequence[LogLine]) -> list[LogLine]:
+    """Return what the answering host logged in the last seconds before `answer`."""
+    oldest = answer.at - LOOK_BACK_SECONDS
+    return [x for x in lines if x.host == answer.host and oldest <= x.at <= answer.at]
+
+
+def _last(lines: Iterable[LogLine], fits: Callable[[LogLine], bool]) -> LogLine | None:
+    found = None
+    for line in lines:
+        if fits(line):
+            found = line
+    return found
+
+
+__all__ = ["Cause", "find_cause"]
--- /dev/null
+++ b/src/brasstray/trace/log_line.py
@@ -0,0 +1,54 @@
+"""Describe one line that a host has logged."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+MESSAGE_PREFIX = "brasstray:"
+# What the logging library adds to each line; it tells a reader nothing.
+_ENVELOPE = frozenset({"timestamp", "task_uuid", "task_level", "message_type"})
+
+
+@dataclass(frozen=True, slots=True)
+class LogLine:
+    """Hold a line: when it was written in seconds, by which host, and its fields.
+
+    `at` is the time that a log collector put in front of the line, or else the host's
+    own time of day, which may be off by what its clock is.
+    """
+
+    at: float
+    host: str
+    kind: str
+    fields: Mapping[str, object]
+
+    @property
+    def job(self) -> str | None:
+        """Return the request's id, if the line is about one."""
+        job = self.fields.get("job")
+        return str(job) if job is not None else None
+
+    def text(self, name: str) -> str:
+        """Return a field as text; empty if it is missing or null."""
+        value = self.fields.get(name)
+        return "" if value is None else str(value)
+
+    def number(self, name: str) -> float:
+        """Return a field as a number; 0 if it is missing or no number."""
+        value = self.fields.get(name)
+        return float(value) if isinstance(value, (int, float)) else 0.0
+
+    def shown(self) -> dict[str, object]:
+        """Return the fields that tell a reader something."""
+        return {
+            name: value
+            for name, value in self.fields.items()
+            if name not in _ENVELOPE and value is not None
+        }
+
+
+__all__ = ["MESSAGE_PREFIX", "LogLine"]
--- /dev/null
+++ b/src/brasstray/trace/log_reader.py
@@ -0,0 +1,69 @@
+"""Read the log lines of hosts from files."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from brasstray.trace.errors import UnreadableLogError
+from brasstray.trace.log_line import MESSAGE_PREFIX, LogLine
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+    from pathlib import Path
+
+
+def read_logs(paths: Iterable[Path]) -> list[LogLine]:
+    """Return the lines of all files by time; raise UnreadableLogError.
+
+    Lines that no host wrote, such as those of a collector or a runtime, are left out.
+    """
+    lines: list[LogLine] = []
+    for path in paths:
+        try:
+            with path.open(encoding="utf-8", errors="replace") as file:
+                lines.extend(_lines(file, path.stem))
+        except OSError as error:
+            raise UnreadableLogError(f"{path}: {error.strerror}") from error
+    lines.sort(key=lambda line: line.at)
+    return lines
+
+
+def _lines(texts: Iterable[str], file_name: str) -> Iterable[LogLine]:
+    for text in texts:
+        line = parse_line(text, file_name)
+        if line is not None:
+            yield line
+
+
+def parse_line(text: str, file_name: str) -> LogLine | None:
+    """Return the host's line in `text`, or None if no host wrote it.
+
+    A collector may put the time in seconds and the host's name in front; else the host
+    is called as its file is.
+    """
+    front, brace, rest = text.partition("{")
+    try:
+        fields = json.loads(brace + rest)
+    except ValueError:
+        return None
+    kind = str(fields.get("message_type", ""))
+    if not kind.startswith(MESSAGE_PREFIX):
+        return None
+    at, host = _collected(front.split())
+    if at is None:
+        stamp = fields.get("timestamp")
+        at = float(stamp) if isinstance(stamp, (int, float)) else 0.0
+    return LogLine(at, host or file_name, kind.removeprefix(MESSAGE_PREFIX), fields)
+
+
+def _collected(words: list[str]) -> tuple[float | None, str | None]:
+    if len(words) < 2:
+        return None, None
+    try:
+        return float(words[0]), words[1]
+    except ValueError:
+        return None, None
+
+
+__all__ = ["parse_line", "read_logs"]
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -12,9 +12,12 @@
 import pytest
 import uvicorn
 from tests.daemon.test_pool_daemon import PATIENCE_SECONDS, Process, free_ports
+from typer.testing import CliRunner
 
 from brasstray.batch.resources import Resources
 from brasstray.clock.loop import LoopClock
+from brasstray.command.main import app
+from brasstray.host.host_status import HostStatus
 from brasstray.job.ids import DataCentreName, MinionId, ServiceName
 from brasstray.pool.minion_entry import MinionEntry
 from brasstray_standins.kv_app import KvApp
@@ -180,3 +183,24 @@
     assert call(port, "POST", "/q/" + "0" * 16, {"Steps": [step]})[0] == 503
     assert len(platform.book.starts) == 18
     assert platform.book.broken == []
+
+
+def test_operators_see_who_owns_the_pool(system):
+    _, processes = system
+    await_ready(processes)
+    found = []
+    for process in processes:
+        url = f"http://127.0.0.1:{process.values['metrics']}"
+        result = CliRunner().invoke(app, ["host", url, "--json"])
+        assert result.exit_code == 0
+        found.append(HostStatus.model_validate_json(result.stdout))
+    owners = [status for status in found if status.owned is not None]
+    assert len(owners) == 1
+    assert [minion.reach for minion in owners[0].owned.minions] == ["held", "held"]
+    assert all(status.owners[0].host == owners[0].host for status in found)
+
+
+def test_a_host_that_is_not_there_is_an_error():
+    (port,) = free_ports(1)
+    result = CliRunner().invoke(app, ["host", f"http://127.0.0.1:{port}"])
+    assert result.exit_code == 5
--- /dev/null
+++ b/tests/settings/test_check.py
@@ -0,0 +1,74 @@
+"""Check that a settings file of either daemon is told apart and checked."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from tests.settings.test_settings import GOOD, write
+from typer.testing import CliRunner
+
+from brasstray.command.main import app
+from brasstray.settings.check import DaemonKind, settings_problems
+
+POOL = {
+    "host": {
+        "name": "edge-1",
+        "data_centre": "utrecht-a",
+        "callers": "127.0.0.1:1",
+        "ready": "127.0.0.1:2",
+        "peers": "127.0.0.1:3",
+        "metrics": "127.0.0.1:4",
+    },
+    "store": {"address": "127.0.0.1:5"},
+    "minions": {},
+    "stop": {},
+}
+
+
+@pytest.mark.parametrize(
+    ("sections", "daemon", "wrong"),
+    [
+        (GOOD, DaemonKind.ENTRY_HOST, []),
+        (POOL, DaemonKind.POOL_HOST, []),
+        (
+            POOL | {"stop": {"grace_seconds": "0"}},
+            DaemonKind.POOL_HOST,
+            [("stop", "grace_seconds")],
+        ),
+        (
+            POOL | {"minions": {"lease_ms": "100"}, "store": {"address": "store:1"}},
+            DaemonKind.POOL_HOST,
+            [("store", "address"), ("minions", "lease_ms")],
+        ),
+        (
+            POOL | {"printer": {"paper": "a4"}},
+            DaemonKind.POOL_HOST,
+            [("printer", "section")],
+        ),
+    ],
+)
+def test_each_problem_is_named(tmp_path, sections, daemon, wrong):
+    found = settings_problems(write(tmp_path / "a.ini", sections))
+    assert found.daemon is daemon
+    assert [(p.section, p.key) for p in found.problems] == wrong
+
+
+@pytest.mark.parametrize("text", ["[host\nname=", "\xff\xfe", ""])
+def test_a_file_that_is_no_settings_is_a_problem(tmp_path, text):
+    path = tmp_path / "a.ini"
+    path.write_bytes(text.encode("latin-1"))
+    assert settings_problems(path).problems
+
+
+@pytest.mark.parametrize(
+    ("sections", "status"),
+    [(POOL, 0), (POOL | {"stop": {"grace_seconds": "x"}}, 2)],
+)
+def test_the_command_ends_with_a_status_and_prints_json(tmp_path, sections, status):
+    path = write(tmp_path / "a.ini", sections)
+    result = CliRunner().invoke(app, ["settings", "check", str(path), "--json"])
+    assert result.exit_code == status
+    told = json.loads(result.stdout)
+    assert told["daemon"] == "pool_host"
+    assert bool(told["problems"]) == bool(status)
--- /dev/null
+++ b/tests/trace/test_trace.py
@@ -0,0 +1,168 @@
+"""Check that a request's id leads to the line that decided how it ended."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from typer.testing import CliRunner
+
+from brasstray.command.main import app
+from brasstray.trace.errors import UnknownJobError, UnreadableLogError
+from brasstray.trace.log_reader import parse_line, read_logs
+from brasstray.trace.trace import trace_job
+
+JOB = "56afe940030edd02"
+
+
+def line(at, host, kind, /, **fields):
+    """Return a line as a collector keeps it: time and host in front."""
+    body = {**fields, "timestamp": 1.0, "message_type": f"brasstray:{kind}"}
+    return f"  {at:.4f} {host} {json.dumps(body)}"
+
+
+def answer(at, outcome, reason=None, /, **fields):
+    return line(at, "a2", "answer", job=JOB, outcome=outcome, reason=reason, **fields)
+
+
+FAILED_RUN = {"end": "failed", "task": "0.1", "run": 3, "minion": "m1"}
+# The lines of a request and of its surroundings, and the line that decided: its kind
+# and time.
+STORIES = {
+    "refused under load": (
+        [
+            line(2.373, "a1", "given_back", job=JOB, tasks=8, wait_ms=115),
+            answer(2.374, "not_run", "overloaded"),
+        ],
+        ("given_back", 2.373),
+    ),
+    "late since a minion left a start unanswered": (
+        [
+            line(3.381, "b2", "start_unanswered", job=JOB, task="0.1", minion="m1"),
+            line(3.583, "b2", "run_ended", job=JOB, end="stopped", percent=0),
+            answer(3.689, "succeeded", took_ms=438, objective_ms=172),
+        ],
+        ("start_unanswered", 3.381),
+    ),
+    "broken off by a lost owner": (
+        [
+            line(32.755, "a1", "forwarded", job=JOB, tasks=1, pool="amersfoort"),
+            line(33.970, "a2", "owner_lost", pool="utrecht-b", host="b2"),
+            line(33.974, "a2", "owner_lost", pool="amersfoort", host="c2"),
+            line(34.100, "a3", "owner_lost", pool="amersfoort", host="c2"),
+            answer(34.881, "unknown", "pool_lost", unfinished={"0.3": "amersfoort"}),
+        ],
+        ("owner_lost", 33.974),
+    ),
+    "failed everywhere": (
+        [
+            line(1.1, "a1", "run_ended", job=JOB, **FAILED_RUN),
+            line(1.2, "a1", "run_ended", job=JOB, **FAILED_RUN),
+            answer(1.3, "failed", "task_failed"),
+        ],
+        ("run_ended", 1.2),
+    ),
+    "no owner in reach": (
+        [
+            line(4.0, "a2", "owner_lost", pool="utrecht-a", host="a1"),
+            line(4.1, "a3", "owner_lost", pool="utrecht-a", host="a1"),
+            answer(4.5, "not_run", "no_pool"),
+        ],
+        ("owner_lost", 4.0),
+    ),
+    "its host stood still": (
+        [
+            line(5.0, "a2", "stood_still", milliseconds=900),
+            answer(5.0, "unknown", "stopping"),
+        ],
+        ("stood_still", 5.0),
+    ),
+    "in doubt after a takeover": (
+        [
+            line(6.0, "a1", "dropped", job=JOB, reason="in_doubt"),
+            answer(6.0, "unknown", "pool_lost", unfinished={}),
+        ],
+        ("dropped", 6.0),
+    ),
+    "in time": (
+        [answer(1.0, "succeeded", took_ms=60, objective_ms=90)],
+        ("answer", 1.0),
+    ),
+    "refused before anything was done": (
+        [line(1.0, "a2", "refused", job=JOB, reason="no_configuration")],
+        ("refused", 1.0),
+    ),
+    "its host died": (
+        [line(7.0, "a1", "dropped", job=JOB, reason="requester_silent")],
+        ("dropped", 7.0),
+    ),
+}
+
+
+def read(tmp_path, lines):
+    path = tmp_path / "hosts.log"
+    path.write_text("\n".join(lines) + "\n")
+    return path
+
+
+@pytest.mark.parametrize("name", STORIES)
+def test_the_deciding_line_is_found(tmp_path, name):
+    # An operator has the id of a request that a caller complains of, and the logs.
+    lines, decided = STORIES[name]
+    noise = line(0.5, "a2", "answer", job="0" * 16, outcome="not_run")
+    trace = trace_job(JOB, read_logs([read(tmp_path, [*reversed(lines), noise])]))
+    assert (trace.cause.line.kind, trace.cause.line.at) == decided
+    assert [x.at for x in trace.timeline] == sorted(x.at for x in trace.timeline)
+    assert all(x.job == JOB for x in trace.timeline)
+
+
+@pytest.mark.parametrize(
+    ("text", "found"),
+    [
+        ('{"message_type": "brasstray:stopped", "timestamp": 2.5}', (2.5, "a1")),
+        ('  7.25 b1 {"message_type": "brasstray:stopped"}', (7.25, "b1")),
+        ('warn b1 {"message_type": "brasstray:stopped"}', (0.0, "a1")),
+        ('{"message_type": "other:stopped"}', None),
+        ("Traceback (most recent call last):", None),
+        ('{"message_type": "brasstray:sto', None),
+    ],
+)
+def test_lines_are_told_from_what_else_is_in_a_log(text, found):
+    line = parse_line(text, "a1")
+    assert (None if line is None else (line.at, line.host)) == found
+
+
+def test_lines_that_were_dropped_are_told_of(tmp_path):
+    lines, _ = STORIES["refused under load"]
+    dropped = line(3.0, "a1", "lines_dropped", count=7)
+    assert trace_job(JOB, read_logs([read(tmp_path, [*lines, dropped])])).dropped == 7
+
+
+def test_an_id_that_no_line_names_is_an_error(tmp_path):
+    with pytest.raises(UnknownJobError):
+        trace_job(JOB, read_logs([read(tmp_path, [])]))
+
+
+def test_a_log_that_cannot_be_read_is_an_error(tmp_path):
+    with pytest.raises(UnreadableLogError):
+        read_logs([tmp_path / "missing.log"])
+
+
+@pytest.mark.parametrize(
+    ("job", "status", "said"),
+    [
+        (JOB, 0, "* 2.373 a1 given_back job=56afe940030edd02 tasks=8 wait_ms=115"),
+        ("f" * 16, 1, "no line names this request"),
+    ],
+)
+def test_the_command_marks_the_deciding_line(tmp_path, job, status, said):
+    path = read(tmp_path, STORIES["refused under load"][0])
+    result = CliRunner().invoke(app, ["trace", job, str(path)])
+    assert result.exit_code == status
+    assert said in result.output
+
+
+def test_the_command_prints_json(tmp_path):
+    path = read(tmp_path, STORIES["refused under load"][0])
+    result = CliRunner().invoke(app, ["trace", JOB, str(path), "--json"])
+    assert json.loads(result.stdout)["cause"]["line"]["kind"] == "given_back"
