--- a/src/brasstray_standins/pool_system.py
+++ b/src/brasstray_standins/pool_system.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from random import Random
 from typing import TYPE_CHECKING
@@ -91,7 +91,10 @@
 
 @dataclass
 class RunningHost:
-    """Hold one process and the switches for its faults."""
+    """Hold one process and the switches for its faults.
+
+    `callers` are the scopes of those who wait for it; they break off when it ends.
+    """
 
     host: PoolHost
     calls: LeasedMinions
@@ -99,6 +102,7 @@
     scope: anyio.CancelScope
     group: TaskGroup
     served: list[anyio.CancelScope] = field(default_factory=list)
+    callers: list[anyio.CancelScope] = field(default_factory=list)
 
     def accept(self, stream: MemoryStream) -> None:
         """Serve a connection that another host opens."""
@@ -112,7 +116,7 @@
 
     def end(self) -> None:
         """End the process."""
-        for scope in (self.scope, *self.served):
+        for scope in (self.scope, *self.served, *self.callers):
             scope.cancel()
         self.gate.open()
 
@@ -174,6 +178,13 @@
         minion = self.places[entry.id] = LeasedMinion(entry, self.clock, self.book)
         return minion
 
+    def set_draining(self, name: MinionId) -> None:
+        """List a minion as draining; it goes on with what it has."""
+        self.listed = [
+            replace(entry, draining=True) if entry.id == name else entry
+            for entry in self.listed
+        ]
+
     def set_config(self, version: int) -> None:
         """Write a configuration, as the operator does."""
         self.store.put(CONFIG_KEY, json.dumps({"version": version}).encode())
