Give a new owner time to be reached, and wait longer where takeovers follow one another

Cause: a host that had not reached the listed owner within 60 to 140 ms of reading of it took its pool. A process that had not heard of its own claim yet was also taken for one that denies it. A lost owner is replaced as soon as before.

Also: a task that is asked for again while a run of it is being stopped waits for the end of that run. On a minion out of reach it went on for a lease beside the second run.

--- a/src/brasstray/host/host_status.py
+++ b/src/brasstray/host/host_status.py
@@ -86,7 +86,7 @@
             )
             for pool, owned in sorted(host.owners.items())
         ),
-        requesters=tuple(sorted(host.requesters)),
+        requesters=tuple(sorted(link.name for link in host.links)),
     )
 
 
--- a/src/brasstray/host/ownership.py
+++ b/src/brasstray/host/ownership.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from brasstray.host.owner_reach import OwnerReach
 from brasstray.host.owner_record import (
     POOL_PREFIX,
     OwnedPool,
@@ -13,6 +14,7 @@
     pool_key,
     pool_of,
 )
+from brasstray.host.recent_takeovers import RecentTakeovers
 from brasstray.store.errors import (
     HistoryLostError,
     StoreConflictError,
@@ -70,6 +72,7 @@
         self._draining = False
         self._vacant_since: timedelta | None = None
         self._patience = timedelta(0)
+        self._recent = RecentTakeovers(timing.takeover_memory)
 
     @property
     def known(self) -> bool:
@@ -133,6 +136,8 @@
             self._events.pool_claim_failed(pool, f"unreadable entry: {error}")
             return
         self._directory.learn(pool, owned)
+        if pool == self._pool:
+            self._recent.note(owned.token, self._clock.monotonic())
         if pool == self._pool and self._token_held < owned.token:
             if owned.owner.incarnation != self._identity.incarnation:
                 self._lose(f"taken by {owned.owner.incarnation}")
@@ -167,18 +172,25 @@
         if self._vacant_since is None:
             self._vacant_since = now
             jitter = self._random.random() * self._timing.claim_jitter
-            self._patience = self._timing.vacancy_patience + jitter
+            patience = self._timing.vacancy_patience + jitter
+            self._patience = patience * self._recent.patience_factor(now)
         return now - self._vacant_since >= self._patience
 
     def _is_vacant(self) -> bool:
         owned = self._directory.owned(self._pool)
-        if owned is None:
+        if owned is None or owned.owner.host == self._identity.host:
             return True
-        if owned.owner.host == self._identity.host:
-            return True
-        if self._directory.given_up(self._pool):
-            return True
-        return self._directory.lost_for(self._pool) is not None
+        match self._directory.reach(self._pool):
+            case OwnerReach.LOST | OwnerReach.GONE | OwnerReach.RESIGNING:
+                return True
+            case OwnerReach.EXPECTED:
+                # Guards against a chain of takeovers where hosts are slow: each makes
+                # work for all of them, so that the next owner is slower still to
+                # answer, is taken for dead, and no caller is served any more.
+                known_for = self._directory.known_for(self._pool)
+                return known_for >= self._timing.newcomer_patience
+            case OwnerReach.UP:
+                return False
 
     async def _claim(self) -> None:
         owned = self._directory.owned(self._pool)
--- a/src/brasstray/host/pool_directory.py
+++ b/src/brasstray/host/pool_directory.py
@@ -2,14 +2,15 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from brasstray.host.owner_reach import OwnerReach
 from brasstray.host.pool_link import PoolLink
 from brasstray.pool.pool_load import PoolLoad
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from datetime import timedelta
 
     from anyio.abc import TaskGroup
 
@@ -73,15 +74,15 @@
             for pool, owned in self._owned.items()
         )
 
-    def lost_for(self, pool: PoolId) -> timedelta | None:
-        """Return for how long the owner of `pool` has been out of reach."""
+    def reach(self, pool: PoolId) -> OwnerReach:
+        """Return what is seen of the listed owner of `pool`, another host."""
         link = self._links.get(pool)
-        return None if link is None else link.lost_for(self._clock.monotonic())
+        return OwnerReach.UP if link is None else link.reach
 
-    def given_up(self, pool: PoolId) -> bool:
-        """Tell whether the listed owner of `pool` is not, or wants to be no more."""
+    def known_for(self, pool: PoolId) -> timedelta:
+        """Return for how long the listed owner of `pool` has been known as such."""
         link = self._links.get(pool)
-        return link is not None and (link.denied or link.resigning)
+        return timedelta(0) if link is None else link.known_for(self._clock.monotonic())
 
     def learn(self, pool: PoolId, owned: OwnedPool | None) -> None:
         """Take note of who owns `pool`; older news than what is known are ignored."""
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -154,9 +154,9 @@
         return set(self._directory.reachable())
 
     @property
-    def requesters(self) -> list[str]:
-        """Return the hosts that have a connection to this one."""
-        return [link.name for link in self._requesters]
+    def links(self) -> list[RequesterLink]:
+        """Return the connections that other hosts have opened to this one."""
+        return list(self._requesters)
 
     async def run(self) -> None:
         """Serve until cancelled."""
@@ -284,6 +284,7 @@
         owner = self._owner
         load = self._load()
         return PoolState(
+            incarnation=self._identity.incarnation,
             pool=owner.pool if owner else None,
             token=owner.token if owner else NO_TOKEN,
             places=load.places,
--- a/src/brasstray/host/pool_link.py
+++ b/src/brasstray/host/pool_link.py
@@ -6,10 +6,11 @@
 
 import anyio
 
+from brasstray.host.owner_reach import OwnerReach
 from brasstray.peer.message.hello import Hello
 from brasstray.peer.message.ping import Ping
 from brasstray.peer.message.pool_state import PoolState
-from brasstray.peer.message_stream import StreamClosedError
+from brasstray.peer.message_stream import NobodyListensError, StreamClosedError
 from brasstray.peer.pipe import Pipe
 
 if TYPE_CHECKING:
@@ -59,8 +60,8 @@
         self._pipe: Pipe | None = None
         self._state: PoolState | None = None
         self._scope = anyio.CancelScope()
-        self._lost_at = clock.monotonic()
-        self._denied = False
+        self._reach = OwnerReach.EXPECTED
+        self._learned_at = clock.monotonic()
 
     @property
     def owned(self) -> OwnedPool:
@@ -73,18 +74,13 @@
         return self._state
 
     @property
-    def denied(self) -> bool:
-        """Tell whether the process there has said that it does not own the pool."""
-        return self._denied
+    def reach(self) -> OwnerReach:
+        """Return what the link shows of the owner."""
+        return self._reach
 
-    @property
-    def resigning(self) -> bool:
-        """Tell whether the owner wants another host to take the pool."""
-        return self._state is not None and self._state.resigning
-
-    def lost_for(self, now: timedelta) -> timedelta | None:
-        """Return for how long the owner has been out of reach; None if it is not."""
-        return None if self._state is not None else now - self._lost_at
+    def known_for(self, now: timedelta) -> timedelta:
+        """Return for how long the owner has been known as such."""
+        return now - self._learned_at
 
     def tell(self, message: PoolMessage) -> None:
         """Send `message`, if the owner is in reach."""
@@ -106,6 +102,9 @@
         owner = self._owned.owner
         try:
             stream = await self._opener.open(owner.address, owner.port)
+        except NobodyListensError:
+            self._lose("nobody listens", OwnerReach.GONE)
+            return
         except StreamClosedError:
             return
         pipe = self._pipe = Pipe(stream, self._timing.owner_silence, self._take)
@@ -124,7 +123,7 @@
                 group.cancel_scope.cancel()
         finally:
             self._pipe = None
-            self._lose(reason)
+            self._lose(reason, OwnerReach.LOST)
 
     async def _ping(self, pipe: Pipe) -> None:
         while True:
@@ -140,18 +139,21 @@
         if state.pool == self._pool and state.token >= self._owned.token:
             was_up = self._state is not None
             self._state = state
-            self._denied = False
+            resigns = state.resigning
+            self._reach = OwnerReach.RESIGNING if resigns else OwnerReach.UP
             if not was_up:
                 self._events.link_up(self._pool, self._owned.owner.host)
                 self._up(self._pool)
-        else:
-            self._denied = True
-            self._lose("not the owner")
-
-    def _lose(self, reason: str) -> None:
+        elif state.incarnation != self._owned.owner.incarnation:
+            self._lose("another process runs there", OwnerReach.GONE)
+        elif self._reach is not OwnerReach.EXPECTED:
+            self._lose("not the owner", OwnerReach.GONE)
+
+    def _lose(self, reason: str, reach: OwnerReach) -> None:
+        if self._reach is not OwnerReach.EXPECTED or reach is OwnerReach.GONE:
+            self._reach = reach
         if self._state is not None:
             self._state = None
-            self._lost_at = self._clock.monotonic()
             self._events.link_down(self._pool, self._owned.owner.host, reason)
 
 
--- a/src/brasstray/host/timing.py
+++ b/src/brasstray/host/timing.py
@@ -19,7 +19,12 @@
 
     `ping` goes both ways on every link. `owner_silence` is after how many of them an
     owner counts as lost: low enough that a takeover comes before leases lapse.
-    `claim_jitter` spreads the hosts that would take a pool over at once.
+    `vacancy_patience` is how long an owner is waited for once it is lost, and
+    `claim_jitter` spreads the hosts that would take its pool over at once.
+    `newcomer_patience` is how long a new owner may take to be reached: it learns of its
+    claim, opens a connection to each minion and answers each host, which took 0.1 s on
+    a fast machine and 0.4 s on one a fifth as fast.
+    `takeover_memory` is for how long takeovers count that double the patience.
     `load_push` is how often other owners may be told of a change of room.
     `freeze` is how long this process must have stood still to distrust what it knows.
     """
@@ -29,6 +34,8 @@
     reconnect: timedelta = _ms(30)
     vacancy_patience: timedelta = _ms(60)
     claim_jitter: timedelta = _ms(80)
+    newcomer_patience: timedelta = _ms(600)
+    takeover_memory: timedelta = _ms(10_000)
     config_watch: timedelta = _ms(1_500)
     pool_watch: timedelta = _ms(2_500)
     store_retry: timedelta = _ms(150)
--- a/src/brasstray/peer/message_stream.py
+++ b/src/brasstray/peer/message_stream.py
@@ -12,6 +12,10 @@
     """The connection has ended, or could not be opened."""
 
 
+class NobodyListensError(StreamClosedError):
+    """The host is there, but no process of ours runs on it."""
+
+
 class MessageStream(Protocol):
     """Send and receive messages in order; every method may raise StreamClosedError."""
 
@@ -32,4 +36,4 @@
         """Return a connection; raise StreamClosedError if there is none in time."""
 
 
-__all__ = ["MessageStream", "StreamClosedError", "StreamOpener"]
+__all__ = ["MessageStream", "NobodyListensError", "StreamClosedError", "StreamOpener"]
--- a/src/brasstray/peer/websocket_stream.py
+++ b/src/brasstray/peer/websocket_stream.py
@@ -10,7 +10,7 @@
 from websockets.exceptions import ConnectionClosed, InvalidHandshake
 
 from brasstray.peer.errors import UnreadableMessageError
-from brasstray.peer.message_stream import StreamClosedError
+from brasstray.peer.message_stream import NobodyListensError, StreamClosedError
 from brasstray.peer.pool_messages import decode_frame, encode_frame
 
 if TYPE_CHECKING:
@@ -67,6 +67,8 @@
                 compression=None,
                 proxy=None,
             )
+        except ConnectionRefusedError as error:
+            raise NobodyListensError(repr(error)) from error
         except (OSError, TimeoutError, InvalidHandshake, EOFError) as error:
             raise StreamClosedError(repr(error)) from error
         return WebSocketStream(connection)
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -261,14 +261,29 @@
             return
         task = PoolTask(name, step, TaskPhase.CLAIMED, RunNumber(0))
         step.tasks[index] = task
-        for minion in self.minions:
-            for record in minion.runs.values():
-                if record.name == name and record.state is not RunState.STOPPING:
-                    self._adopt(minion, record, task)
-                    return
-        if self._settled or not claimed:
+        found = self._run_of(name)
+        if found is not None:
+            self._adopt(*found, task)
+        elif self._settled or not claimed:
             self._book.queue(task)
 
+    def _run_of(self, name: TaskName) -> tuple[Minion, RunRecord] | None:
+        """Return a run of the task that goes on, or else one that is being stopped.
+
+        Guards against a second run beside one that is being stopped: on a minion out
+        of reach it may go on for a whole lease. A requester that was silent for too
+        long and asks again brings this about. The task waits until that run has ended.
+        """
+        runs = [
+            (minion, record)
+            for minion in self.minions
+            for record in minion.runs.values()
+            if record.name == name
+        ]
+        return min(
+            runs, key=lambda run: run[1].state is RunState.STOPPING, default=None
+        )
+
     def _adopt(self, minion: Minion, record: RunRecord, task: PoolTask) -> None:
         record.task = task
         minion.resize(record, task.of.needs)
--- a/src/brasstray_standins/memory_streams.py
+++ b/src/brasstray_standins/memory_streams.py
@@ -8,7 +8,7 @@
 
 import anyio
 
-from brasstray.peer.message_stream import StreamClosedError
+from brasstray.peer.message_stream import NobodyListensError, StreamClosedError
 from brasstray.peer.pool_messages import decode_frame, encode_frame
 
 if TYPE_CHECKING:
@@ -27,12 +27,14 @@
     """Know where hosts listen and which of them are cut off from one another.
 
     A connection that was cut stays silent after the cut has healed; new ones work.
+    `opening` is how long a connection takes to open.
     """
 
     def __init__(self) -> None:
         self.listening: dict[str, PoolHost] = {}
         self.groups: dict[str, int] = {}
         self.streams: list[MemoryStream] = []
+        self.opening = ONE_WAY
 
     def cut(self, groups: dict[str, int]) -> None:
         """Let only hosts of the same number in `groups` reach one another."""
@@ -120,13 +122,13 @@
         """Return a connection to the host called `address`."""
         del port
         await self._gate.wait()
-        await self._clock.sleep(ONE_WAY)
+        await self._clock.sleep(self._network.opening)
         host = self._network.listening.get(address)
         if not self._network.connected(self._here, address):
             await self._clock.sleep(OPEN_PATIENCE)
             raise StreamClosedError("no answer")
         if host is None:
-            raise StreamClosedError("refused")
+            raise NobodyListensError("refused")
         to_there, from_here = anyio.create_memory_object_stream[bytes](math.inf)
         to_here, from_there = anyio.create_memory_object_stream[bytes](math.inf)
         near = MemoryStream(
--- /dev/null
+++ b/tests/host/test_owner_reach.py
@@ -0,0 +1,65 @@
+"""Check when a host takes the listed owner of its pool for gone."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+
+from brasstray.host.recent_takeovers import RecentTakeovers
+
+MEMORY = timedelta(seconds=10)
+
+
+def ms(count):
+    return timedelta(milliseconds=count)
+
+
+@pytest.mark.parametrize(
+    ("takeovers", "now", "factor"),
+    [
+        ([], 0, 1),
+        ([(3, 0)], 100, 1),
+        ([(3, 0), (4, 500)], 600, 2),
+        ([(3, 0), (4, 500), (5, 900)], 1_000, 4),
+        ([(n, n * 100) for n in range(1, 20)], 2_000, 8),
+        ([(3, 0), (3, 200), (3, 400)], 500, 1),
+        ([(3, 0), (2, 200)], 500, 1),
+        ([(3, 0), (4, 9_000)], 10_500, 1),
+        ([(3, 0), (4, 9_000)], 25_000, 1),
+    ],
+)
+def test_the_patience_doubles_with_each_takeover(takeovers, now, factor):
+    recent = RecentTakeovers(MEMORY)
+    for token, at in takeovers:
+        recent.note(token, ms(at))
+    assert recent.patience_factor(ms(now)) == factor
+
+
+@pytest.mark.parametrize(
+    ("fate", "slowest"),
+    [("killed", 200), ("restarted", 200), ("resigns", 300), ("silent", 700)],
+)
+def test_a_lost_owner_is_replaced_soon(play_pools, fate, slowest):
+    # The host that orders the minions of a data centre dies, is started again, wants
+    # to leave or falls silent. Runs live for 0.8 s after the last look at their minion,
+    # so another host has to own the pool before.
+    async def story(system):
+        name = system.owner()
+        began = system.clock.monotonic()
+        if fate == "silent":
+            system.network.cut({name: 1})
+            system.store.cut.add(name)
+        elif fate == "resigns":
+            system.hosts[name].host.drain()
+        else:
+            system.kill(name)
+            if fate == "restarted":
+                system.start(name, "dc0")
+        before = system.store.entries("brasstray/pools/dc0")[0].version
+        while system.store.entries("brasstray/pools/dc0")[0].version == before:
+            await system.clock.sleep(ms(5))
+        return system.clock.monotonic() - began
+
+    took, _ = play_pools(story)
+    assert took <= ms(slowest)
--- a/tests/host/test_pool_failures.py
+++ b/tests/host/test_pool_failures.py
@@ -516,3 +516,56 @@
     result, system = play_pools(story)
     assert result.outcome is BatchOutcome.SUCCEEDED
     assert system.book.broken == []
+
+
+def test_a_new_owner_is_given_time_to_be_reached(play_pools):
+    # Hosts are slow, and a connection to a new owner takes a quarter of a second. Those
+    # that have not reached it yet must not take the pool from it: each takeover makes
+    # work for all of them, so that the next owner is slower still, and no caller of the
+    # data centre is served any more.
+    async def story(system):
+        system.network.opening = ms(250)
+        before = {}
+        async with anyio.create_task_group() as group:
+            load = Load(system, group)
+            group.start_soon(load.run, 100)
+            await system.clock.sleep(SECOND)
+            before = tokens(system)
+            system.kill(system.owner())
+        return load, before, tokens(system)
+
+    def tokens(system):
+        return {
+            entry.name: entry.version
+            for entry in system.store.entries("brasstray/pools/")
+        }
+
+    (load, before, after), system = play_pools(story)
+    assert sum(after.values()) - sum(before.values()) == 1
+    assert system.book.broken == []
+    assert load.succeeded >= 95
+
+
+def test_a_task_asked_for_again_waits_until_its_stopped_run_has_ended(play_pools):
+    # A coordinator is silent for so long that an owner gives its tasks up and stops
+    # them. One minion is out of reach, so the runs there go on until their lease is
+    # over. The coordinator comes back and asks for its tasks again; those that are
+    # still at work must not start a second time beside their first run.
+    batch = usual_batch("a" * 16, 2, estimate=ms(1_600))
+
+    async def story(system):
+        system.book.usual = Work(USUAL_NEEDS, ms(1_600))
+        name = system.other()
+        owner = system.hosts[system.owner()]
+        async with anyio.create_task_group() as group:
+            group.start_soon(system.submit, name, batch)
+            await system.clock.sleep(ms(300))
+            owner.calls.cut.update(m for m, p in system.places.items() if p.running)
+            for link in owner.host.links:
+                if link.name == name:
+                    owner.host.owner.lose_requester(link)
+            system.hosts[name].host.coordinator.claim(owner.host.owner.pool)
+
+    _, system = play_pools(story)
+    assert system.book.broken == []
+    assert len(system.book.starts) == 4
