--- a/src/brasstray/pool/minion.py
+++ b/src/brasstray/pool/minion.py
@@ -8,6 +8,7 @@
 
 from brasstray.batch.resources import Resources
 from brasstray.pool.minion_health import MinionHealth
+from brasstray.pool.pool_task import TaskPhase
 
 if TYPE_CHECKING:
     from datetime import timedelta
@@ -15,6 +16,7 @@
     from brasstray.batch.ids import RunNumber
     from brasstray.batch.task_name import TaskName
     from brasstray.pool.minion_entry import MinionEntry
+    from brasstray.pool.pool_task import PoolTask
     from brasstray.pool.run_record import RunRecord
     from brasstray.pool.step_tasks import StepTasks
 
@@ -76,6 +78,14 @@
         self.runs[record.name, record.run] = record
         self._used = self._used + record.needs
 
+    def adopt(self, record: RunRecord, task: PoolTask) -> None:
+        """Let a run that is here already be the run of `task`."""
+        record.task = task
+        self.resize(record, task.of.needs)
+        task.phase = TaskPhase.PLACED
+        task.last_run = record.run
+        task.of.begun = True
+
     def has_ended(self, name: TaskName, run: RunNumber) -> bool:
         """Tell whether the end of a run here is known, so that it is not seen again."""
         return (name, run) in self._gone
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -8,20 +8,19 @@
 import anyio
 
 from brasstray.batch.ids import RunNumber
-from brasstray.batch.resources import Resources
 from brasstray.batch.task_name import TaskName
 from brasstray.pool.durations import Durations
-from brasstray.pool.errors import StartRefusal
 from brasstray.pool.load_sharing import LoadSharing
 from brasstray.pool.look import RunEnd
 from brasstray.pool.loop_lag import LoopLag
-from brasstray.pool.minion import Minion, Reach
-from brasstray.pool.minion_health import Evidence
+from brasstray.pool.minion import Reach
 from brasstray.pool.minion_session import FIRST_CALLS_AT_ONCE, MinionSession
 from brasstray.pool.placement import choose_minion, urgency
 from brasstray.pool.pool_task import PoolTask, TaskPhase
+from brasstray.pool.roster import Roster
+from brasstray.pool.run_judge import RunJudge
 from brasstray.pool.run_record import RunRecord, RunState
-from brasstray.pool.straggling import SIBLINGS_PATIENCE, pace, straggles
+from brasstray.pool.run_tracker import RunTracker
 from brasstray.pool.task_book import TaskBook
 
 if TYPE_CHECKING:
@@ -31,9 +30,10 @@
 
     from brasstray.batch.ids import BatchId, FencingToken, PoolId
     from brasstray.clock.clock import Clock
-    from brasstray.job.ids import MinionId
     from brasstray.peer.message.run_tasks import RunTasks
+    from brasstray.pool.errors import StartRefusal
     from brasstray.pool.look import ActiveRun, EndedRun
+    from brasstray.pool.minion import Minion
     from brasstray.pool.minion_calls import MinionCalls
     from brasstray.pool.minion_entry import MinionEntry
     from brasstray.pool.other_pools import OtherPools
@@ -44,12 +44,6 @@
     from brasstray.pool.timing import PoolTiming
 
 _MILLISECOND = timedelta(milliseconds=1)
-# Runs of one task must be numbered upwards, also by an owner that knows nothing of
-# earlier ones: after a refusal for this reason it goes on this much higher.
-RUN_NUMBER_LEAP = 1_000
-# A task that has failed on so many minions is at fault itself: with a tenth of them
-# bad, a sound one meets two bad ones in a row once in a hundred times.
-MINIONS_THAT_ABSOLVE = 2
 # How often waiting tasks are looked at for what time alone changes: a suspension that
 # ends, a job that has become hopeless.
 TIME_STEP = timedelta(milliseconds=20)
@@ -83,9 +77,18 @@
         self._confirm = confirm
         self._inherited = None if inherited is None else list(inherited)
         self._durations = Durations(remote_factor)
-        self._sessions: dict[MinionId, MinionSession] = {}
-        self._missing_since: dict[MinionId, timedelta] = {}
+        self._roster = Roster(clock, timing, self._begin_session, self._forget_minion)
+        self._judge = RunJudge(lambda: self.minions, events)
         self._book = TaskBook(clock, events)
+        self._runs = RunTracker(
+            self._book,
+            self._judge,
+            self._durations,
+            clock,
+            events,
+            lambda: self._settled,
+            lambda minion, record: self._roster.session(minion.entry.id).stop(record),
+        )
         self._sharing = LoadSharing(
             self._book, lambda: self.minions, self._durations, others, clock, events
         )
@@ -124,13 +127,13 @@
     @property
     def minions(self) -> list[Minion]:
         """Return the minions known."""
-        return [session.minion for session in self._sessions.values()]
+        return self._roster.minions
 
     async def run(self) -> None:
         """Own the pool until deposed or cancelled."""
         async with anyio.create_task_group() as group:
             self._group = group
-            self._add_inherited()
+            self._roster.inherit(self._inherited or ())
             group.start_soon(self._settle)
             group.start_soon(self._watch_time)
             try:
@@ -149,41 +152,15 @@
 
     def list_minions(self, entries: Iterable[MinionEntry]) -> None:
         """Take the minions that the store lists for this pool."""
-        now = self._clock.monotonic()
-        listed = {entry.id: entry for entry in entries}
-        for minion_id, entry in listed.items():
-            session = self._sessions.get(minion_id)
-            if session is None:
-                self._add(entry)
-            else:
-                session.minion.entry = entry
-            self._missing_since.pop(minion_id, None)
-        for minion_id in list(self._sessions):
-            if minion_id not in listed:
-                since = self._missing_since.setdefault(minion_id, now)
-                # Guards against entries that lapse while the store is away though
-                # their minions live: they are back soon after the store is.
-                if now - since > self._timing.missing_grace:
-                    self._remove(minion_id)
+        self._roster.update(entries)
         self._listed.set()
         self.dispatch()
 
-    def _add_inherited(self) -> None:
-        """Take the minions that the last owner held.
-
-        Guards against a list from which the entries of living minions have lapsed, as
-        after a cut: what runs there would be started again elsewhere.
-        """
-        now = self._clock.monotonic()
-        for entry in self._inherited or ():
-            self._add(entry)
-            self._missing_since[entry.id] = now
-
-    def _add(self, entry: MinionEntry) -> None:
+    def _begin_session(self, minion: Minion) -> MinionSession:
         assert self._group is not None
         session = MinionSession(
             self,
-            Minion(entry),
+            minion,
             self._token,
             self._calls,
             self._clock,
@@ -192,18 +169,12 @@
             self._lag,
             self._first_calls,
         )
-        self._sessions[entry.id] = session
         self._group.start_soon(session.run)
+        return session
 
-    def _remove(self, minion_id: MinionId) -> None:
-        session = self._sessions[minion_id]
-        if session.minion.runs and session.minion.reach is Reach.HELD:
-            return
-        self.lose_minion(session.minion, gone=True)
-        session.end()
-        del self._sessions[minion_id]
-        del self._missing_since[minion_id]
-        self._durations.forget(minion_id)
+    def _forget_minion(self, minion: Minion) -> None:
+        self.lose_minion(minion, gone=True)
+        self._durations.forget(minion.entry.id)
 
     async def _settle(self) -> None:
         """Wait until every minion has told what it runs, or had time to."""
@@ -239,7 +210,7 @@
             self._book.give_up(task)
 
     def _stop_unclaimed(self) -> None:
-        for session in self._sessions.values():
+        for session in self._roster.sessions:
             for record in list(session.minion.runs.values()):
                 if record.task is None:
                     session.stop(record)
@@ -276,7 +247,8 @@
         step.tasks[index] = task
         found = self._run_of(name)
         if found is not None:
-            self._adopt(*found, task)
+            minion, record = found
+            minion.adopt(record, task)
         elif self._settled or not claimed:
             self._book.queue(task)
 
@@ -297,13 +269,6 @@
             runs, key=lambda run: run[1].state is RunState.STOPPING, default=None
         )
 
-    def _adopt(self, minion: Minion, record: RunRecord, task: PoolTask) -> None:
-        record.task = task
-        minion.resize(record, task.of.needs)
-        task.phase = TaskPhase.PLACED
-        task.last_run = record.run
-        task.of.begun = True
-
     def stop_tasks(self, requester: Requester, batch: BatchId) -> None:
         """Drop the waiting tasks of a job and stop its runs."""
         for step in self._book.steps:
@@ -322,7 +287,7 @@
         if self._deposed.is_set():
             return
         self._book.drop(step, why)
-        for session in self._sessions.values():
+        for session in self._roster.sessions:
             for record in list(session.minion.runs.values()):
                 if record.task is not None and record.task.of is step:
                     record.task = None
@@ -380,7 +345,7 @@
         step.begun = True
         minion.add(record)
         self._events.started(minion, record, now - step.arrived)
-        self._sessions[entry.id].start(record, step.spec)
+        self._roster.session(entry.id).start(record, step.spec)
 
     # What minions tell
 
@@ -391,162 +356,21 @@
         ended: tuple[EndedRun, ...],
     ) -> None:
         """Take what `minion` tells of its runs."""
-        for end in ended:
-            record = minion.runs.get((end.task, end.run))
-            if record is None:
-                self._note_unowned_end(end.task, end.end)
-            else:
-                self._end(minion, record, end.end)
-        for run in active:
-            self._see_active(minion, run)
-        now = self._clock.monotonic()
-        for record in list(minion.runs.values()):
-            self._judge_pace(minion, record, now)
+        self._runs.see(minion, active, ended)
         if ended:
             self.dispatch()
 
-    def _see_active(self, minion: Minion, run: ActiveRun) -> None:
-        record = minion.runs.get((run.task, run.run))
-        if record is None and minion.has_ended(run.task, run.run):
-            return
-        if record is None:
-            record = RunRecord(
-                run.task,
-                run.run,
-                Resources(),
-                self._clock.monotonic(),
-                timedelta(0),
-                RunState.ACTIVE,
-                None,
-                size_known=False,
-            )
-            minion.add(record)
-            task = self._book.find(run.task)
-            if task is not None and task.phase is TaskPhase.CLAIMED:
-                self._adopt(minion, record, task)
-            elif self._settled:
-                self._sessions[minion.entry.id].stop(record)
-            return
-        record.percent = run.percent
-        if record.state in (RunState.STARTING, RunState.UNSETTLED):
-            record.state = RunState.ACTIVE
-
-    def _judge_pace(self, minion: Minion, record: RunRecord, now: timedelta) -> None:
-        task = record.task
-        if task is None or record.state is not RunState.ACTIVE or not record.expected:
-            return
-        step, where = task.of, minion.entry.id
-        siblings = step.pace_elsewhere(where)
-        step.paces[where] = pace(record, now)
-        if siblings is None and self._siblings_untold(record, now):
-            return
-        # A task is restarted for its pace once only: if it is as slow elsewhere, it is
-        # the task that is long and not the minions that are slow.
-        if task.straggled or not straggles(record, now, siblings):
-            return
-        task.straggled = True
-        if not minion.health.suspected:
-            minion.health.suspend(now)
-            self._events.suspected(minion, Evidence.STRAGGLING)
-        # The run is stopped, and its task waits until the end is listed: two runs of
-        # it must never be at work at the same time.
-        task.avoided.add(where)
-        self._sessions[where].stop(record)
-
-    def _siblings_untold(self, record: RunRecord, now: timedelta) -> bool:
-        """Tell whether tasks of the same step elsewhere will soon show their pace."""
-        if now - record.began > SIBLINGS_PATIENCE:
-            return False
-        assert record.task is not None
-        return sum(m.has_task_of(record.task.of) for m in self.minions) > 1
-
-    def _end(self, minion: Minion, record: RunRecord, end: RunEnd) -> None:
-        minion.remove(record)
-        self._events.ended(minion, record, end)
-        task = record.task
-        now = self._clock.monotonic()
-        if end is RunEnd.DONE and minion.health.end_well():
-            self._events.trusted(minion)
-        if task is None:
-            self._note_unowned_end(record.name, end)
-            return
-        step = task.of
-        if end is RunEnd.DONE:
-            if record.expected:
-                took = now - record.began
-                step.paces[minion.entry.id] = took / record.expected
-                self._durations.learn(step, minion.entry.id, record.expected, took)
-            self._book.finish(task, done=True)
-        elif end is RunEnd.FAILED:
-            self._fail(minion, task, now)
-        else:
-            self._book.queue(task)
-
-    def _fail(self, minion: Minion, task: PoolTask, now: timedelta) -> None:
-        if minion.health.fail(task.name.batch, now):
-            self._events.suspected(minion, Evidence.FAILURES)
-        task.failures += 1
-        task.avoided.add(minion.entry.id)
-        if task.failures >= task.of.attempts:
-            self._absolve_minions(task)
-            self._book.finish(task, done=False)
-        else:
-            self._book.queue(task)
-
-    def _absolve_minions(self, task: PoolTask) -> None:
-        """Hold a job that failed on several minions against none of them."""
-        failed_on = [m for m in self.minions if m.entry.id in task.avoided]
-        if len(failed_on) < MINIONS_THAT_ABSOLVE:
-            return
-        for minion in failed_on:
-            if minion.health.absolve(task.name.batch):
-                self._events.trusted(minion)
-
-    def _note_unowned_end(self, name: TaskName, end: RunEnd) -> None:
-        """Keep the end of a run without a task, or end the task that claims it."""
-        self._book.remember(name, end)
-        task = self._book.find(name)
-        if task is None or task.phase is not TaskPhase.CLAIMED:
-            return
-        if end is RunEnd.DONE:
-            self._book.finish(task, done=True)
-        elif self._settled:
-            self._book.queue(task)
-
     def take_refusal(
         self, minion: Minion, record: RunRecord, refusal: StartRefusal
     ) -> None:
         """Take back a run that `minion` has not started."""
-        if not minion.remove(record):
-            return
-        self._events.refused(minion, record, refusal)
-        task = record.task
-        now = self._clock.monotonic()
-        if refusal is StartRefusal.UNHEALTHY:
-            minion.health.suspend(now)
-            self._events.suspected(minion, Evidence.UNHEALTHY)
-        if task is None:
-            return
-        match refusal:
-            case StartRefusal.STALE_RUN:
-                task.last_run = RunNumber(task.last_run + RUN_NUMBER_LEAP)
-            case StartRefusal.MALFORMED:
-                task.failures += 1
-                if task.failures >= task.of.attempts:
-                    self._book.finish(task, done=False)
-                    return
-            case _:
-                task.avoided.add(minion.entry.id)
-        self._book.queue(task)
+        self._runs.refuse(minion, record, refusal)
         self.dispatch()
 
     def settle_stopped(self, minion: Minion, record: RunRecord) -> None:
         """Take note that `record` was stopped and lists no end, so it never ran."""
-        if minion.remove(record):
-            self._events.ended(minion, record, RunEnd.STOPPED)
-            if record.task is not None:
-                self._book.queue(record.task)
-                self.dispatch()
+        self._runs.settle_stopped(minion, record)
+        self.dispatch()
 
     def reach_minion(self, minion: Minion) -> None:
         """Take note that `minion` came into reach or went out of it."""
@@ -562,10 +386,7 @@
         elsewhere but given back as in doubt.
         """
         if minion.runs and not await self._confirm():
-            for record in list(minion.runs.values()):
-                minion.remove(record)
-                if record.task is not None:
-                    self._book.give_up(record.task)
+            self._runs.give_up_all(minion)
         self.lose_minion(minion, gone=False)
 
     def lose_minion(self, minion: Minion, *, gone: bool) -> None:
@@ -573,8 +394,7 @@
         if gone:
             minion.reach = Reach.GONE
             self._events.reach_changed(minion)
-        for record in list(minion.runs.values()):
-            self._end(minion, record, RunEnd.LAPSED)
+        self._runs.lapse_all(minion)
         self.dispatch()
 
 
--- /dev/null
+++ b/src/brasstray/pool/roster.py
@@ -0,0 +1,93 @@
+"""Know the minions of a pool, from the platform's list and from the last owner."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from brasstray.pool.minion import Minion, Reach
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+    from datetime import timedelta
+
+    from brasstray.clock.clock import Clock
+    from brasstray.job.ids import MinionId
+    from brasstray.pool.minion_entry import MinionEntry
+    from brasstray.pool.minion_session import MinionSession
+    from brasstray.pool.timing import PoolTiming
+
+
+class Roster:
+    """Hold a session for each minion, begun by `begin` and reported lost to `lose`."""
+
+    def __init__(
+        self,
+        clock: Clock,
+        timing: PoolTiming,
+        begin: Callable[[Minion], MinionSession],
+        lose: Callable[[Minion], None],
+    ) -> None:
+        self._clock = clock
+        self._timing = timing
+        self._begin = begin
+        self._lose = lose
+        self._sessions: dict[MinionId, MinionSession] = {}
+        self._missing_since: dict[MinionId, timedelta] = {}
+
+    @property
+    def minions(self) -> list[Minion]:
+        """Return the minions known."""
+        return [session.minion for session in self._sessions.values()]
+
+    @property
+    def sessions(self) -> list[MinionSession]:
+        """Return the sessions of the minions known."""
+        return list(self._sessions.values())
+
+    def session(self, minion: MinionId) -> MinionSession:
+        """Return the session of a minion that is known."""
+        return self._sessions[minion]
+
+    def inherit(self, entries: Iterable[MinionEntry]) -> None:
+        """Take the minions that the last owner held.
+
+        Guards against a list from which the entries of living minions have lapsed, as
+        after a cut: what runs there would be started again elsewhere.
+        """
+        now = self._clock.monotonic()
+        for entry in entries:
+            self._add(entry)
+            self._missing_since[entry.id] = now
+
+    def update(self, entries: Iterable[MinionEntry]) -> None:
+        """Take the minions that the platform lists."""
+        listed = {entry.id: entry for entry in entries}
+        for minion_id, entry in listed.items():
+            session = self._sessions.get(minion_id)
+            if session is None:
+                self._add(entry)
+            else:
+                session.minion.entry = entry
+            self._missing_since.pop(minion_id, None)
+        now = self._clock.monotonic()
+        for minion_id in [known for known in self._sessions if known not in listed]:
+            since = self._missing_since.setdefault(minion_id, now)
+            # Guards against entries that lapse while the store is away though their
+            # minions live: they are back soon after the store is.
+            if now - since > self._timing.missing_grace:
+                self._remove(minion_id)
+
+    def _add(self, entry: MinionEntry) -> None:
+        self._sessions[entry.id] = self._begin(Minion(entry))
+
+    def _remove(self, minion_id: MinionId) -> None:
+        session = self._sessions[minion_id]
+        if session.minion.runs and session.minion.reach is Reach.HELD:
+            return
+        self._lose(session.minion)
+        session.end()
+        del self._sessions[minion_id]
+        del self._missing_since[minion_id]
+
+
+__all__ = ["Roster"]
--- /dev/null
+++ b/src/brasstray/pool/run_judge.py
@@ -0,0 +1,92 @@
+"""Judge minions by how the runs on them go and end."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from brasstray.pool.minion_health import Evidence
+from brasstray.pool.run_record import RunState
+from brasstray.pool.straggling import SIBLINGS_PATIENCE, pace, straggles
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from datetime import timedelta
+
+    from brasstray.pool.minion import Minion
+    from brasstray.pool.owner_events import OwnerEvents
+    from brasstray.pool.pool_task import PoolTask
+    from brasstray.pool.run_record import RunRecord
+
+# A task that has failed on so many minions is at fault itself: with a tenth of them
+# bad, a sound one meets two bad ones in a row once in a hundred times.
+MINIONS_THAT_ABSOLVE = 2
+
+
+class RunJudge:
+    """Suspect minions on evidence, and tell which runs are better stopped."""
+
+    def __init__(
+        self, minions: Callable[[], list[Minion]], events: OwnerEvents
+    ) -> None:
+        self._minions = minions
+        self._events = events
+
+    def should_stop(self, minion: Minion, record: RunRecord, now: timedelta) -> bool:
+        """Tell whether a run is so slow that its task is better run elsewhere.
+
+        The minion is suspected then, and avoided by that task.
+        """
+        task = record.task
+        if task is None or record.state is not RunState.ACTIVE or not record.expected:
+            return False
+        step, where = task.of, minion.entry.id
+        siblings = step.pace_elsewhere(where)
+        step.paces[where] = pace(record, now)
+        if siblings is None and self._siblings_untold(record, now):
+            return False
+        # A task is restarted for its pace once only: if it is as slow elsewhere, it is
+        # the task that is long and not the minions that are slow.
+        if task.straggled or not straggles(record, now, siblings):
+            return False
+        task.straggled = True
+        task.avoided.add(where)
+        if not minion.health.suspected:
+            minion.health.suspend(now)
+            self._events.suspected(minion, Evidence.STRAGGLING)
+        return True
+
+    def _siblings_untold(self, record: RunRecord, now: timedelta) -> bool:
+        """Tell whether tasks of the same step elsewhere will soon show their pace."""
+        if now - record.began > SIBLINGS_PATIENCE:
+            return False
+        assert record.task is not None
+        return sum(m.has_task_of(record.task.of) for m in self._minions()) > 1
+
+    def note_done(self, minion: Minion) -> None:
+        """Take note that a run on `minion` ended well."""
+        if minion.health.end_well():
+            self._events.trusted(minion)
+
+    def note_failed(self, minion: Minion, task: PoolTask, now: timedelta) -> None:
+        """Take note that a run of `task` failed on `minion`."""
+        if minion.health.fail(task.name.batch, now):
+            self._events.suspected(minion, Evidence.FAILURES)
+        task.failures += 1
+        task.avoided.add(minion.entry.id)
+
+    def note_unhealthy(self, minion: Minion, now: timedelta) -> None:
+        """Take note that `minion` says itself that it cannot run tasks."""
+        minion.health.suspend(now)
+        self._events.suspected(minion, Evidence.UNHEALTHY)
+
+    def note_hopeless(self, task: PoolTask) -> None:
+        """Hold a task that failed for good on several minions against none of them."""
+        failed_on = [m for m in self._minions() if m.entry.id in task.avoided]
+        if len(failed_on) < MINIONS_THAT_ABSOLVE:
+            return
+        for minion in failed_on:
+            if minion.health.absolve(task.name.batch):
+                self._events.trusted(minion)
+
+
+__all__ = ["RunJudge"]
--- /dev/null
+++ b/src/brasstray/pool/run_tracker.py
@@ -0,0 +1,194 @@
+"""Follow the runs on the minions of a pool from start to end."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from brasstray.batch.ids import RunNumber
+from brasstray.batch.resources import Resources
+from brasstray.pool.errors import StartRefusal
+from brasstray.pool.look import RunEnd
+from brasstray.pool.pool_task import TaskPhase
+from brasstray.pool.run_record import RunRecord, RunState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from brasstray.batch.task_name import TaskName
+    from brasstray.clock.clock import Clock
+    from brasstray.pool.durations import Durations
+    from brasstray.pool.look import ActiveRun, EndedRun
+    from brasstray.pool.minion import Minion
+    from brasstray.pool.owner_events import OwnerEvents
+    from brasstray.pool.pool_task import PoolTask
+    from brasstray.pool.run_judge import RunJudge
+    from brasstray.pool.task_book import TaskBook
+
+# Runs of one task must be numbered upwards, also by an owner that knows nothing of
+# earlier ones: after a refusal for this reason it goes on this much higher.
+RUN_NUMBER_LEAP = 1_000
+
+
+class RunTracker:
+    """Bring the book in line with what minions tell; `stop` stops a run.
+
+    Tasks whose run has ended without a result wait in the book for another start.
+    """
+
+    def __init__(
+        self,
+        book: TaskBook,
+        judge: RunJudge,
+        durations: Durations,
+        clock: Clock,
+        events: OwnerEvents,
+        settled: Callable[[], bool],
+        stop: Callable[[Minion, RunRecord], None],
+    ) -> None:
+        self._book = book
+        self._judge = judge
+        self._durations = durations
+        self._clock = clock
+        self._events = events
+        self._settled = settled
+        self._stop = stop
+
+    def see(
+        self,
+        minion: Minion,
+        active: tuple[ActiveRun, ...],
+        ended: tuple[EndedRun, ...],
+    ) -> None:
+        """Take what `minion` tells of its runs."""
+        for end in ended:
+            record = minion.runs.get((end.task, end.run))
+            if record is None:
+                self._note_unowned_end(end.task, end.end)
+            else:
+                self._end(minion, record, end.end)
+        for run in active:
+            self._see_active(minion, run)
+        now = self._clock.monotonic()
+        for record in list(minion.runs.values()):
+            if self._judge.should_stop(minion, record, now):
+                # The task waits until the end is listed: two runs of it must never be
+                # at work at the same time.
+                self._stop(minion, record)
+
+    def _see_active(self, minion: Minion, run: ActiveRun) -> None:
+        record = minion.runs.get((run.task, run.run))
+        if record is not None:
+            record.percent = run.percent
+            if record.state in (RunState.STARTING, RunState.UNSETTLED):
+                record.state = RunState.ACTIVE
+        elif not minion.has_ended(run.task, run.run):
+            self._take_unknown(minion, run)
+
+    def _take_unknown(self, minion: Minion, run: ActiveRun) -> None:
+        """Take a run that an earlier owner started; stop it if nobody can claim it."""
+        record = RunRecord(
+            run.task,
+            run.run,
+            Resources(),
+            self._clock.monotonic(),
+            timedelta(0),
+            RunState.ACTIVE,
+            None,
+            size_known=False,
+        )
+        minion.add(record)
+        task = self._book.find(run.task)
+        if task is not None and task.phase is TaskPhase.CLAIMED:
+            minion.adopt(record, task)
+        elif self._settled():
+            self._stop(minion, record)
+
+    def _end(self, minion: Minion, record: RunRecord, end: RunEnd) -> None:
+        minion.remove(record)
+        self._events.ended(minion, record, end)
+        if end is RunEnd.DONE:
+            self._judge.note_done(minion)
+        task = record.task
+        if task is None:
+            self._note_unowned_end(record.name, end)
+            return
+        match end:
+            case RunEnd.DONE:
+                self._learn(minion, record, task)
+                self._book.finish(task, done=True)
+            case RunEnd.FAILED:
+                self._fail(minion, task)
+            case _:
+                self._book.queue(task)
+
+    def _learn(self, minion: Minion, record: RunRecord, task: PoolTask) -> None:
+        if not record.expected:
+            return
+        where = minion.entry.id
+        took = self._clock.monotonic() - record.began
+        task.of.paces[where] = took / record.expected
+        self._durations.learn(task.of, where, record.expected, took)
+
+    def _fail(self, minion: Minion, task: PoolTask) -> None:
+        self._judge.note_failed(minion, task, self._clock.monotonic())
+        if task.failures >= task.of.attempts:
+            self._judge.note_hopeless(task)
+            self._book.finish(task, done=False)
+        else:
+            self._book.queue(task)
+
+    def _note_unowned_end(self, name: TaskName, end: RunEnd) -> None:
+        """Keep the end of a run without a task, or end the task that claims it."""
+        self._book.remember(name, end)
+        task = self._book.find(name)
+        if task is None or task.phase is not TaskPhase.CLAIMED:
+            return
+        if end is RunEnd.DONE:
+            self._book.finish(task, done=True)
+        elif self._settled():
+            self._book.queue(task)
+
+    def refuse(self, minion: Minion, record: RunRecord, refusal: StartRefusal) -> None:
+        """Take back a run that `minion` has not started."""
+        if not minion.remove(record):
+            return
+        self._events.refused(minion, record, refusal)
+        if refusal is StartRefusal.UNHEALTHY:
+            self._judge.note_unhealthy(minion, self._clock.monotonic())
+        task = record.task
+        if task is None:
+            return
+        match refusal:
+            case StartRefusal.STALE_RUN:
+                task.last_run = RunNumber(task.last_run + RUN_NUMBER_LEAP)
+            case StartRefusal.MALFORMED:
+                task.failures += 1
+                if task.failures >= task.of.attempts:
+                    self._book.finish(task, done=False)
+                    return
+            case _:
+                task.avoided.add(minion.entry.id)
+        self._book.queue(task)
+
+    def settle_stopped(self, minion: Minion, record: RunRecord) -> None:
+        """Take note that `record` was stopped and lists no end, so it never ran."""
+        if minion.remove(record):
+            self._events.ended(minion, record, RunEnd.STOPPED)
+            if record.task is not None:
+                self._book.queue(record.task)
+
+    def give_up_all(self, minion: Minion) -> None:
+        """Give back the tasks of all runs on `minion`: they may be at work there."""
+        for record in list(minion.runs.values()):
+            minion.remove(record)
+            if record.task is not None:
+                self._book.give_up(record.task)
+
+    def lapse_all(self, minion: Minion) -> None:
+        """Take note that all runs on `minion` have ended for sure."""
+        for record in list(minion.runs.values()):
+            self._end(minion, record, RunEnd.LAPSED)
+
+
+__all__ = ["RunTracker"]
