Count runs again that outlive their reckoned lease, and run no task beside them

Cause: an order that extends leases can be carried out up to 12 s late, its time counting from then. Now, where a minion has left an order unanswered and answered a later one, lapsed tasks are given up as in doubt until the order can have no effect, and a run is ended only by what its minion tells.

--- a/src/brasstray/pool/lease_clock.py
+++ b/src/brasstray/pool/lease_clock.py
@@ -9,6 +9,9 @@
     from brasstray.pool.timing import PoolTiming
 
 _MILLISECOND = timedelta(milliseconds=1)
+# The platform's minions carry out orders that had no answer up to 12 s late, and grant
+# at most 1 s each: after this an order changes nothing any more.
+LATEST_EFFECT = timedelta(seconds=13)
 
 
 class LeaseClock:
@@ -24,11 +27,33 @@
         self._shown_ms: int | None = None
         self._shown_at = timedelta()
         self._latest_until_ms = 0
+        self._unanswered_at: timedelta | None = None
+        self._late_until = timedelta()
 
-    def show(self, clock_ms: int, received: timedelta) -> None:
-        """Note that a response received at `received` showed `clock_ms`."""
+    def show(self, clock_ms: int, sent: timedelta, received: timedelta) -> None:
+        """Note that the response to a call, received at `received`, showed `clock_ms`.
+
+        `sent` is when the call was sent.
+        """
         self._shown_ms = clock_ms
         self._shown_at = received
+        if self._unanswered_at is not None and sent > self._unanswered_at:
+            # The minion lived after that order, so it is the order or its answer that
+            # was lost or held up. Where the minion has died, no answer follows.
+            self._late_until = self._unanswered_at + LATEST_EFFECT
+            self._unanswered_at = None
+
+    def miss(self, sent: timedelta) -> None:
+        """Note that an order sent at `sent`, which may extend leases, had no answer."""
+        self._unanswered_at = sent
+
+    def may_be_extended(self, now: timedelta) -> bool:
+        """Tell whether an order that is held up may still extend leases at `now`.
+
+        Guards against one that comes after the minion has gone out of reach: its runs
+        would go on after `lapse_wait`, while their tasks are at work elsewhere.
+        """
+        return now < self._late_until
 
     def next_until(self, now: timedelta) -> int:
         """Return the lease to ask for at `now`, and note that it may be granted."""
--- a/src/brasstray/pool/minion.py
+++ b/src/brasstray/pool/minion.py
@@ -97,10 +97,20 @@
         record.size_known = True
 
     def remove(self, record: RunRecord) -> bool:
-        """Free what `record` used; return whether it was still counted."""
-        if self.runs.pop((record.name, record.run), None) is None:
+        """Free what `record` used, as it has ended; return whether it still counted."""
+        if not self.lose(record):
             return False
         self._gone.append((record.name, record.run))
+        return True
+
+    def lose(self, record: RunRecord) -> bool:
+        """Free what `record` used, as its lease should be over.
+
+        Nobody has told its end, so it is counted again if the minion, back in reach,
+        tells that it goes on.
+        """
+        if self.runs.pop((record.name, record.run), None) is None:
+            return False
         self._used = self._used - record.needs
         return True
 
--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -172,15 +172,20 @@
             left = self._lease.lapse_wait(self._clock.monotonic())
             if left <= _NO_WAIT and not lapsed:
                 lapsed = True
-                await self._owner.lapse_minion(self._minion)
+                may_live = self._lease.may_be_extended(self._clock.monotonic())
+                await self._owner.lapse_minion(self._minion, may_live=may_live)
             try:
                 if lapsed or self._minion.reach is Reach.NEW:
                     await self._look_in_turn()
                 else:
                     await self._look(lease=False, wait=_NO_WAIT)
             except MinionSilentError:
-                await self._clock.sleep(pause if lapsed else min(pause, left))
-                pause = min(pause * 2, LONGEST_SILENT_PAUSE)
+                if lapsed:
+                    await self._clock.sleep(pause)
+                    pause = min(pause * 2, LONGEST_SILENT_PAUSE)
+                else:
+                    # Until the runs lapse every answer counts: it saves them.
+                    await self._clock.sleep(min(pause, left))
                 continue
             return
 
@@ -190,18 +195,22 @@
             await self._look(lease=False, wait=_NO_WAIT)
 
     async def _look(self, *, lease: bool, wait: timedelta) -> None:
-        until = None
-        if lease:
-            until = self._lease.next_until(self._clock.monotonic())
-        look = await self._calls.hold(
-            self._minion.entry,
-            self._token,
-            self._acknowledged,
-            until,
-            wait,
-            wait + self._timing.look_patience + self._lag.allowance,
-        )
-        self._lease.show(look.clock_ms, self._clock.monotonic())
+        sent = self._clock.monotonic()
+        until = self._lease.next_until(sent) if lease else None
+        try:
+            look = await self._calls.hold(
+                self._minion.entry,
+                self._token,
+                self._acknowledged,
+                until,
+                wait,
+                wait + self._timing.look_patience + self._lag.allowance,
+            )
+        except MinionSilentError:
+            if lease:
+                self._lease.miss(sent)
+            raise
+        self._lease.show(look.clock_ms, sent, self._clock.monotonic())
         # Ends are acknowledged by the next look only, after the owner has told them to
         # whoever asked for the tasks: what it has not told, its successor must see.
         fresh = tuple(e for e in look.ended if e.number > self._acknowledged)
@@ -226,7 +235,8 @@
         self._group.start_soon(self._stop, record)
 
     async def _start(self, record: RunRecord, spec: str) -> None:
-        until = self._lease.next_until(self._clock.monotonic())
+        sent = self._clock.monotonic()
+        until = self._lease.next_until(sent)
         try:
             shown = await self._calls.start(
                 self._minion.entry,
@@ -240,6 +250,7 @@
         except StartRefusedError as error:
             self._owner.take_refusal(self._minion, record, error.refusal)
         except MinionSilentError:
+            self._lease.miss(sent)
             if record.state is RunState.STARTING:
                 record.state = RunState.UNSETTLED
                 self._owner.events.unanswered(self._minion, record)
@@ -249,7 +260,7 @@
         except FencedError:
             self._owner.depose()
         else:
-            self._lease.show(shown, self._clock.monotonic())
+            self._lease.show(shown, sent, self._clock.monotonic())
             if record.state is RunState.STARTING:
                 record.state = RunState.ACTIVE
             if record.task is None and record.state is RunState.ACTIVE:
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -377,15 +377,16 @@
         self._events.reach_changed(minion)
         self.dispatch()
 
-    async def lapse_minion(self, minion: Minion) -> None:
+    async def lapse_minion(self, minion: Minion, *, may_live: bool) -> None:
         """Take note that every lease that this owner gave to `minion` is over.
 
+        With `may_live` an order that is held up may have extended one all the same.
         Guards against a successor that this owner has not heard of: it may have reached
         the minion and extended the lease of the runs there. Unless the store confirms,
         after the lapse, that nobody has taken the pool, their tasks are not started
         elsewhere but given back as in doubt.
         """
-        if minion.runs and not await self._confirm():
+        if minion.runs and (may_live or not await self._confirm()):
             self._runs.give_up_all(minion)
         self.lose_minion(minion, gone=False)
 
--- a/src/brasstray/pool/run_tracker.py
+++ b/src/brasstray/pool/run_tracker.py
@@ -106,9 +106,12 @@
 
     def _end(self, minion: Minion, record: RunRecord, end: RunEnd) -> None:
         minion.remove(record)
-        self._events.ended(minion, record, end)
         if end is RunEnd.DONE:
             self._judge.note_done(minion)
+        self._take_end(minion, record, end)
+
+    def _take_end(self, minion: Minion, record: RunRecord, end: RunEnd) -> None:
+        self._events.ended(minion, record, end)
         task = record.task
         if task is None:
             self._note_unowned_end(record.name, end)
@@ -181,14 +184,15 @@
     def give_up_all(self, minion: Minion) -> None:
         """Give back the tasks of all runs on `minion`: they may be at work there."""
         for record in list(minion.runs.values()):
-            minion.remove(record)
+            minion.lose(record)
             if record.task is not None:
                 self._book.give_up(record.task)
 
     def lapse_all(self, minion: Minion) -> None:
         """Take note that all runs on `minion` have ended for sure."""
         for record in list(minion.runs.values()):
-            self._end(minion, record, RunEnd.LAPSED)
+            minion.lose(record)
+            self._take_end(minion, record, RunEnd.LAPSED)
 
 
 __all__ = ["RunTracker"]
--- a/src/brasstray_standins/leased_minions.py
+++ b/src/brasstray_standins/leased_minions.py
@@ -34,8 +34,9 @@
 
     `cut` minions hear nothing, and `calls` counts the calls to each. `swallowed` counts
     answers that are still to be lost. `late` holds back that many starts for
-    `lateness`, unanswered, and then has them carried out. Each call takes `effort` of
-    this caller's processor, one call after the other.
+    `lateness`, unanswered, and then has them carried out; `late_holds` holds back that
+    many extensions of leases, whose time counts from when they arrive. Each call takes
+    `effort` of this caller's processor, one call after the other.
     """
 
     def __init__(
@@ -49,6 +50,7 @@
         self.calls: Counter[MinionId] = Counter()
         self.swallowed = 0
         self.late = 0
+        self.late_holds = 0
         self.lateness = timedelta(seconds=3)
         self.effort = timedelta(0)
         self._processor = anyio.Lock()
@@ -71,6 +73,17 @@
         async def act(place: LeasedMinion) -> Look:
             return await place.hold(minion, token, acknowledged, until_ms, wait)
 
+        if until_ms is not None and self.late_holds > 0:
+            self.late_holds -= 1
+            ahead = until_ms - self._places[minion.id].clock_ms
+
+            async def extend(place: LeasedMinion) -> Look:
+                until = place.clock_ms + ahead
+                return await place.hold(minion, token, 0, until, timedelta(0))
+
+            self._group.start_soon(self._act_late, minion, extend)
+            await self._clock.sleep(patience)
+            raise MinionSilentError("held back")
         return await self._call(minion, act, patience)
 
     async def start(
@@ -97,7 +110,7 @@
         return await self._call(minion, act, patience)
 
     async def _act_late(
-        self, minion: MinionEntry, act: Callable[[LeasedMinion], Awaitable[int]]
+        self, minion: MinionEntry, act: Callable[[LeasedMinion], Awaitable[object]]
     ) -> None:
         await self._clock.sleep(self.lateness)
         place = self._places[minion.id]
--- a/tests/host/test_pool_failures.py
+++ b/tests/host/test_pool_failures.py
@@ -612,3 +612,34 @@
     (result, took), _ = play_pools(story, size)
     assert result.outcome is BatchOutcome.SUCCEEDED
     assert took < ms(150)
+
+
+@pytest.mark.parametrize("back_after", [ms(1_100), ms(2_500)])
+def test_a_lease_is_extended_by_an_order_that_comes_late(play_pools, back_after):
+    # A look that extends the lease of all runs has no answer. It is carried out a
+    # second later, its time counting from then, when the minion has just gone out of
+    # reach. Its runs live on after the owner takes every lease for over: they must not
+    # be started elsewhere beside that, nor others in their room once it is back.
+    size = PoolSystemSize(data_centres=1, hosts_each=2, minions_each=2)
+
+    async def story(system):
+        system.book.usual = Work(USUAL_NEEDS, ms(3_000))
+        owner, name = system.owner(), system.other()
+        calls = system.hosts[owner].calls
+        batch = usual_batch("a" * 16, 2, estimate=ms(3_000))
+        async with anyio.create_task_group() as group:
+            group.start_soon(system.submit, name, batch)
+            await system.clock.sleep(ms(300))
+            calls.late_holds, calls.lateness = 2, ms(1_250)
+            await system.clock.sleep(ms(600))
+            calls.cut.update(m for m, p in system.places.items() if p.running)
+            await system.clock.sleep(back_after)
+            calls.cut.clear()
+            system.book.usual = Work(USUAL_NEEDS, ms(60))
+            for number in range(10):
+                job = usual_batch(f"{number:016x}", 4)
+                group.start_soon(system.submit, name, job)
+                await system.clock.sleep(ms(100))
+
+    _, system = play_pools(story, size)
+    assert system.book.broken == []
--- /dev/null
+++ b/tests/pool/test_lease_clock.py
@@ -0,0 +1,47 @@
+"""Check what an owner takes for granted of the leases on a minion."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+
+from brasstray.pool.lease_clock import LATEST_EFFECT, LeaseClock
+from brasstray.pool.timing import PoolTiming
+
+
+def ms(count):
+    return timedelta(milliseconds=count)
+
+
+@pytest.mark.parametrize(
+    ("missed", "answered", "now", "may_be_extended"),
+    [
+        # An order without an answer on a minion that is not heard of again.
+        (100, None, 500, False),
+        # One that was answered late, after a later order had been given up.
+        (100, (50, 200), 500, False),
+        # One after which the minion answered another call: it may still come.
+        (100, (150, 200), 500, True),
+        (100, (150, 200), 100 + LATEST_EFFECT / ms(1) - 1, True),
+        (100, (150, 200), 100 + LATEST_EFFECT / ms(1), False),
+    ],
+)
+def test_an_order_that_is_held_up_may_extend_a_lease(
+    missed, answered, now, may_be_extended
+):
+    lease = LeaseClock(PoolTiming())
+    lease.show(5_000, ms(0), ms(2))
+    lease.miss(ms(missed))
+    if answered is not None:
+        sent, received = answered
+        lease.show(5_100, ms(sent), ms(received))
+    assert lease.may_be_extended(ms(now)) is may_be_extended
+
+
+@pytest.mark.parametrize(("now", "left"), [(2, 816.3), (402, 416.3), (2_000, 0)])
+def test_leases_lapse_for_sure_by_the_slowest_clock(now, left):
+    lease = LeaseClock(PoolTiming())
+    lease.show(5_000, ms(0), ms(2))
+    assert lease.next_until(ms(2)) == 5_800
+    assert abs(lease.lapse_wait(ms(now)) / ms(1) - left) < 0.1
