--- a/src/brasstray/host/event_log.py
+++ b/src/brasstray/host/event_log.py
@@ -82,10 +82,7 @@
             return
         log_message(
             "brasstray:run_ended",
-            job=record.name.batch,
-            task=f"{record.name.step}.{record.name.index}",
-            run=record.run,
-            minion=minion.entry.id,
+            **_run_fields(minion, record),
             end=end.value,
             percent=record.percent,
             expected_ms=record.expected // _MILLISECOND,
@@ -97,10 +94,7 @@
         self._metrics.count_retry(why.value)
         log_message(
             "brasstray:start_refused",
-            job=record.name.batch,
-            task=f"{record.name.step}.{record.name.index}",
-            run=record.run,
-            minion=minion.entry.id,
+            **_run_fields(minion, record),
             reason=why.value,
         )
 
@@ -109,10 +103,7 @@
         self._metrics.count_retry("unanswered")
         log_message(
             "brasstray:start_unanswered",
-            job=record.name.batch,
-            task=f"{record.name.step}.{record.name.index}",
-            run=record.run,
-            minion=minion.entry.id,
+            **_run_fields(minion, record),
         )
 
     def suspected(self, minion: Minion, why: Evidence) -> None:
@@ -227,4 +218,14 @@
         log_message("brasstray:draining")
 
 
+def _run_fields(minion: Minion, record: RunRecord) -> dict[str, object]:
+    """Return what every line about a run names it by."""
+    return {
+        "job": record.name.batch,
+        "task": f"{record.name.step}.{record.name.index}",
+        "run": record.run,
+        "minion": minion.entry.id,
+    }
+
+
 __all__ = ["EventLog"]
