--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -194,7 +194,13 @@
         async with self._first_calls:
             await self._look(lease=False, wait=_NO_WAIT)
 
-    async def _look(self, *, lease: bool, wait: timedelta) -> None:
+    async def _look(
+        self, *, lease: bool, wait: timedelta
+    ) -> set[tuple[TaskName, RunNumber]] | None:
+        """Ask for what runs and has ended; return the active runs.
+
+        None means that a later look was answered before this one.
+        """
         sent = self._clock.monotonic()
         until = self._lease.next_until(sent) if lease else None
         try:
@@ -221,6 +227,7 @@
         overtaken = look.clock_ms < self._newest_look_ms
         self._newest_look_ms = max(self._newest_look_ms, look.clock_ms)
         self._owner.see(self._minion, () if overtaken else look.active, fresh)
+        return None if overtaken else {(run.task, run.run) for run in look.active}
 
     def start(self, record: RunRecord, spec: str) -> None:
         """Send the start of `record`, which counts against the room already."""
@@ -291,14 +298,12 @@
         while key in self._minion.runs and self._minion.reach is not Reach.GONE:
             try:
                 await self._call_stop(*key)
+                self._unsettled.discard(key)
+                await self._await_end(record)
             except MinionSilentError:
                 await self._clock.sleep(self._timing.silent_pause)
-                continue
             except (MinionGoneError, FencedError):
                 return
-            self._unsettled.discard(key)
-            await self._await_end(record)
-            return
 
     async def _await_end(self, record: RunRecord) -> None:
         """Wait for the end of a run whose stop was answered.
@@ -306,17 +311,14 @@
         Guards against using its room again, or running its task elsewhere, while it is
         being stopped: it is not told as active any more then, but its end is listed
         within the stop time only. A run that was not there is rejected from now on and
-        lists no end, so that after this time there is nothing to wait for.
+        lists no end, so that after this time there is nothing to wait for. One that is
+        told as active all the same has to be stopped again.
         """
-        key = (record.name, record.run)
         await self._clock.sleep(self._timing.stop_time)
-        while key in self._minion.runs and self._minion.reach is not Reach.GONE:
-            try:
-                await self._look(lease=False, wait=_NO_WAIT)
-            except MinionSilentError:
-                continue
-            except (MinionGoneError, FencedError):
-                return
+        if (record.name, record.run) not in self._minion.runs:
+            return
+        active = await self._look(lease=False, wait=_NO_WAIT)
+        if active is not None and (record.name, record.run) not in active:
             self._owner.settle_stopped(self._minion, record)
 
     async def _call_stop(self, name: TaskName, run: RunNumber) -> None:
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -184,30 +184,29 @@
             if all(m.reach is not Reach.NEW for m in self.minions):
                 break
             await self._clock.sleep(5 * _MILLISECOND)
-        # Without the last owner's list nobody can say that a claimed task runs nowhere.
-        out_of_reach = self._inherited is None or any(
-            m.reach is Reach.NEW for m in self.minions
-        )
         self._settled = True
         for step in self._book.steps:
-            self._settle_claims(step, out_of_reach)
+            for task in list(step.tasks.values()):
+                if task.phase is TaskPhase.CLAIMED:
+                    self._settle_claim(task)
         self.dispatch()
         await self._clock.sleep(self._timing.orphan_patience)
         self._stop_unclaimed()
 
-    def _settle_claims(self, step: StepTasks, out_of_reach: bool) -> None:
-        """Queue claimed tasks that run nowhere; give back those that may."""
-        claimed = [t for t in step.tasks.values() if t.phase is TaskPhase.CLAIMED]
-        if not claimed:
-            return
-        if not out_of_reach:
-            for task in claimed:
-                self._book.queue(task)
-            return
-        # Guards against a second run beside one that goes on where this owner does
-        # not reach and an earlier one may: nobody can tell, so the job is given up.
-        for task in claimed:
+    def _settle_claim(self, task: PoolTask) -> None:
+        """Queue a claimed task that is known to run nowhere; else give it back.
+
+        Guards against a second run beside one that goes on where this owner does not
+        reach and an earlier one may: nobody can tell, so the job is given up. Without
+        the last owner's list of minions nobody can tell either.
+        """
+        out_of_reach = self._inherited is None or any(
+            minion.reach is Reach.NEW for minion in self.minions
+        )
+        if out_of_reach:
             self._book.give_up(task)
+        else:
+            self._book.queue(task)
 
     def _stop_unclaimed(self) -> None:
         for session in self._roster.sessions:
@@ -249,8 +248,10 @@
         if found is not None:
             minion, record = found
             minion.adopt(record, task)
-        elif self._settled or not claimed:
+        elif not claimed:
             self._book.queue(task)
+        elif self._settled:
+            self._settle_claim(task)
 
     def _run_of(self, name: TaskName) -> tuple[Minion, RunRecord] | None:
         """Return a run of the task that goes on, or else one that is being stopped.
--- a/src/brasstray_standins/leased_minions.py
+++ b/src/brasstray_standins/leased_minions.py
@@ -35,7 +35,8 @@
     `cut` minions hear nothing, and `calls` counts the calls to each. `swallowed` counts
     answers that are still to be lost. `late` holds back that many starts for
     `lateness`, unanswered, and then has them carried out; `late_holds` holds back that
-    many extensions of leases, whose time counts from when they arrive. Each call takes
+    many extensions of leases, whose time counts from when they arrive.
+    `ignored_stops` counts stops that are answered and not carried out. Each call takes
     `effort` of this caller's processor, one call after the other.
     """
 
@@ -51,6 +52,7 @@
         self.swallowed = 0
         self.late = 0
         self.late_holds = 0
+        self.ignored_stops = 0
         self.lateness = timedelta(seconds=3)
         self.effort = timedelta(0)
         self._processor = anyio.Lock()
@@ -131,6 +133,9 @@
         """Stop a run, or have it refused if it comes later."""
 
         async def act(place: LeasedMinion) -> None:
+            if self.ignored_stops > 0:
+                self.ignored_stops -= 1
+                return
             place.stop(minion, token, task, run)
 
         await self._call(minion, act, patience)
--- a/tests/host/test_pool_failures.py
+++ b/tests/host/test_pool_failures.py
@@ -15,6 +15,7 @@
 from brasstray.batch.ids import BatchId
 from brasstray.batch.outcome import BatchOutcome, GiveUpReason
 from brasstray.batch.task_name import TaskName
+from brasstray.peer.message.run_tasks import RunTasks
 from brasstray_standins.leased_minion import Work
 from brasstray_standins.pool_system import (
     USUAL_NEEDS,
@@ -643,3 +644,85 @@
 
     _, system = play_pools(story, size)
     assert system.book.broken == []
+
+
+class AskingHost:
+    """Ask owners for one task of a job, and keep what they tell."""
+
+    name = "asking"
+
+    def __init__(self, job):
+        self._job = job
+        self.told = []
+
+    def tell(self, message):
+        self.told.append(message)
+
+    def request(self, *, claimed):
+        return RunTasks(
+            batch=self._job,
+            step=0,
+            indices=(0,),
+            width=1,
+            queue="saldo",
+            service="verlofdienst",
+            spec="",
+            cpu_millis=USUAL_NEEDS.cpu_millis,
+            memory_mb=USUAL_NEEDS.memory_mb,
+            gpus=0,
+            priority=0,
+            estimate_ms=3_000,
+            due_ms=5_000,
+            useful_ms=15_000,
+            limit_ms=15_000,
+            attempts=3,
+            claimed=claimed,
+        )
+
+
+def test_a_task_is_claimed_while_a_minion_has_not_been_reached_yet(play_pools):
+    # The host that orders the minions dies. Its successor does not reach the minion
+    # that runs a draw, and waits no longer for it. Then the draw's coordinator, whose
+    # connection took long, asks for its task: as nobody can tell whether it still runs,
+    # it must be given back as in doubt and not be started elsewhere beside the first.
+    async def story(system):
+        system.book.usual = Work(USUAL_NEEDS, ms(3_000))
+        asking = AskingHost("a" * 16)
+        first = system.hosts[system.owner()].host.owner
+        first.run_tasks(asking, asking.request(claimed=False))
+        await system.clock.sleep(ms(200))
+        busy = {m for m, place in system.places.items() if place.running}
+        for running in system.hosts.values():
+            running.calls.cut |= busy
+        system.kill(system.owner())
+        await system.clock.sleep(ms(550))
+        second = system.hosts[system.owner()].host.owner
+        assert second.settled
+        second.run_tasks(asking, asking.request(claimed=True))
+        await system.clock.sleep(ms(100))
+        return asking.told
+
+    told, system = play_pools(story)
+    assert system.book.broken == []
+    assert [message.in_doubt for message in told] == [True]
+
+
+def test_a_run_that_is_told_as_active_after_its_stop_keeps_its_room(play_pools):
+    # A minion answers a stop, and does not carry it out. The run goes on, and a task
+    # that starts in its place brings the minion over its capacity.
+    size = PoolSystemSize(data_centres=1, hosts_each=1, minions_each=1)
+
+    async def story(system):
+        system.book.usual = Work(USUAL_NEEDS, ms(600))
+        name = system.owner()
+        async with anyio.create_task_group() as group:
+            load = Load(system, group, width=2)
+            system.hosts[name].calls.ignored_stops = 2
+            with anyio.move_on_after(0.1):
+                await load.submit("a" * 16, name)
+            group.start_soon(load.submit, "b" * 16, name)
+        return load
+
+    load, system = play_pools(story, size)
+    assert system.book.broken == []
+    assert load.succeeded == 1
