--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -11,7 +11,15 @@
 from measure.pages import fill
 from measure.table import as_json, markdown
 
-NAMES = ("journal", "routing", "faults", "daemon_cpu", "idle_cpu", "capacity")
+NAMES = (
+    "journal",
+    "routing",
+    "faults",
+    "daemon_cpu",
+    "idle_cpu",
+    "capacity",
+    "log_cost",
+)
 
 
 def _table(name: str, seed: int) -> str:
--- /dev/null
+++ b/measure/log_cost.py
@@ -0,0 +1,118 @@
+"""Measure what a log line and a scrape of the metrics cost a host's processor."""
+
+from __future__ import annotations
+
+import os
+import time
+from dataclasses import dataclass
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from eliot import add_destinations, log_message, remove_destination
+from opentelemetry.sdk.metrics import MeterProvider
+from opentelemetry.sdk.metrics.export import InMemoryMetricReader
+
+from brasstray.batch.outcome import BatchOutcome, BatchResult
+from brasstray.clock.loop import LoopClock
+from brasstray.log.bounded_output import MOST_LINES, MOST_LINES_A_SECOND, BoundedOutput
+from brasstray.metrics.pool_metrics import PoolMetrics
+from brasstray.metrics.prometheus_text import prometheus_text
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+ROUNDS = 40
+SCRAPES = 200
+REASONS = 30
+
+
+@dataclass(frozen=True)
+class Cost:
+    """Hold what one of something takes."""
+
+    what: str
+    processor_us: float
+    bytes_each: float
+
+
+def run(seed: int) -> list[Cost]:
+    """Return the costs; nothing is drawn, so `seed` changes nothing."""
+    del seed
+    return [_written_lines(), _dropped_lines(), _scrape()]
+
+
+def _log_answer(number: int) -> None:
+    log_message(
+        "brasstray:answer",
+        job=f"{number:016x}",
+        queue="saldo",
+        tasks=8,
+        outcome="succeeded",
+        reason=None,
+        took_ms=95,
+        objective_ms=156,
+        patience_ms=1_900,
+        unfinished=None,
+    )
+
+
+def _written_lines() -> Cost:
+    readable, writable = os.pipe()
+    os.set_blocking(readable, False)
+    output = BoundedOutput(writable, LoopClock())
+    written = 0
+
+    def lines() -> None:
+        nonlocal written
+        for number in range(MOST_LINES_A_SECOND // ROUNDS):
+            _log_answer(number)
+        output.flush()
+        written += len(os.read(readable, 1 << 20))
+
+    count = MOST_LINES_A_SECOND // ROUNDS * ROUNDS
+    took = _with_output(output, lambda: [lines() for _ in range(ROUNDS)])
+    os.close(readable)
+    os.close(writable)
+    return Cost("log line, written", took / count, written / count)
+
+
+def _dropped_lines() -> Cost:
+    output = BoundedOutput(os.open(os.devnull, os.O_WRONLY), LoopClock())
+    for number in range(MOST_LINES):
+        output({"number": number})
+    took = _with_output(output, lambda: [_log_answer(n) for n in range(MOST_LINES)])
+    return Cost("log line, dropped", took / MOST_LINES, 0.0)
+
+
+def _with_output(output: BoundedOutput, work: Callable[[], object]) -> float:
+    add_destinations(output)
+    try:
+        return _processor_us(work)
+    finally:
+        remove_destination(output)
+
+
+def _scrape() -> Cost:
+    reader = InMemoryMetricReader()
+    metrics = PoolMetrics(MeterProvider([reader]).get_meter("measure"))
+    result = BatchResult(BatchOutcome.SUCCEEDED)
+    metrics.count_answer(result, timedelta(seconds=1), timedelta(seconds=1))
+    metrics.count_start(timedelta(milliseconds=8))
+    for number in range(REASONS):
+        metrics.count_reason(f"reason_{number}")
+    size = len(prometheus_text(reader.get_metrics_data()))
+
+    def scrapes() -> None:
+        for _ in range(SCRAPES):
+            prometheus_text(reader.get_metrics_data())
+
+    return Cost("scrape of the metrics", _processor_us(scrapes) / SCRAPES, float(size))
+
+
+def _processor_us(work: Callable[[], object]) -> float:
+    began = time.process_time()
+    work()
+    return (time.process_time() - began) * 1e6
+
+
+__all__ = ["Cost", "run"]
--- a/spec/pool_protocol.py
+++ b/spec/pool_protocol.py
@@ -4,7 +4,8 @@
 take over with token 2 at any moment, whether the first is dead, frozen or well. Starts
 travel as messages that arrive at any later moment, or never. Silence is a step that
 never comes. A lease is on or off; an order carries a lease of its own that is on until
-`the lease lapses` has been taken for its minion.
+`the lease lapses` has been taken for its minion. One extension of leases may be held
+up, and be carried out after its minion has answered later calls.
 """
 
 from __future__ import annotations
@@ -34,16 +35,22 @@
     SILENT_IS_DEAD = "a silent minion's tasks are started elsewhere before they lapse"
     HOLD_FIRST = "a minion back in reach is held before late starts are stopped there"
     UNCONFIRMED = "tasks that lapsed are started again by an owner that was replaced"
+    UNEXTENDED = "tasks that lapsed are started again though an extension is held up"
     FORGETFUL = "a job is said not to have run although a start was sent"
 
 
 class Minion(NamedTuple):
-    """A minion: the highest token seen, its lease, the run at work, runs barred."""
+    """A minion: the highest token seen, its lease, the run at work, runs barred.
+
+    `extended` says that an extension came late, so that the lease outlives what owners
+    reckon from earlier ones; a hold after it is reckoned from, and covers it.
+    """
 
     token: int = 1
     lease: bool = True
     running: int = 0
     barred: int = 0
+    extended: bool = False
 
 
 class Order(NamedTuple):
@@ -55,6 +62,13 @@
     fresh: bool = True
 
 
+class Extension(NamedTuple):
+    """An extension of leases that is held up on its way to a minion."""
+
+    minion: int
+    token: int
+
+
 class Owner(NamedTuple):
     """An owner's book: where the task is, and what it must settle first.
 
@@ -68,6 +82,7 @@
     unsettled: frozenset[tuple[int, int]] = frozenset()
     fenced: frozenset[int] = frozenset()
     out_of_reach: frozenset[int] = frozenset()
+    held_up: int | None = None
 
 
 class State(NamedTuple):
@@ -79,6 +94,8 @@
     second: Owner
     sent: bool = False
     refused: bool = False
+    extension: Extension | None = None
+    extensions_left: int = 1
 
 
 def initial() -> State:
@@ -104,6 +121,7 @@
         yield from settle(s, name, token, owner, variant)
         yield from lose_sight(s, name, owner, variant)
         yield from regain(s, name, token, owner, variant)
+        yield from miss(s, name, token, owner)
     yield from take_over(s, variant)
     yield from refuse(s, variant)
 
@@ -121,6 +139,13 @@
             yield f"run {order.run} begins on {order.minion}", _put(left, order, begun)
         else:
             yield f"run {order.run} is rejected by {order.minion}", left
+    if s.extension is not None:
+        number, token = s.extension
+        arrived = s._replace(extension=None)
+        if token >= s.minions[number].token:
+            extended = s.minions[number]._replace(extended=True, lease=True)
+            arrived = _with(arrived, number, extended)
+        yield f"an extension comes late to {number}", arrived
     for number, minion in enumerate(s.minions):
         if minion.running:
             ended = minion._replace(running=0)
@@ -178,6 +203,20 @@
         yield f"{name} has its run stopped", state
 
 
+def miss(s: State, name: str, token: int, owner: Owner) -> Iterator[Step]:
+    """An extension has no answer, and its minion answers a later call."""
+    if not s.extensions_left or owner.phase not in ("sent", "active"):
+        return
+    number = owner.minion
+    if number in owner.out_of_reach or s.minions[number].token > token:
+        return
+    missed = owner._replace(held_up=number)
+    state = s._replace(
+        extension=Extension(number, token), extensions_left=0, **{name: missed}
+    )
+    yield f"an extension of {name} to {number} is held up", state
+
+
 def lose_sight(
     s: State, name: str, owner: Owner, variant: PoolVariant
 ) -> Iterator[Step]:
@@ -198,7 +237,10 @@
         # The owner asks the store whether it still owns the pool. A successor may have
         # extended the lease that it takes for over.
         replaced = name == "first" and s.second.phase != "away"
-        if not replaced or variant is PoolVariant.UNCONFIRMED:
+        certain = not replaced or variant is PoolVariant.UNCONFIRMED
+        if owner.held_up == owner.minion:
+            certain = certain and variant is PoolVariant.UNEXTENDED
+        if certain:
             yield f"the lease on {owner.minion} lapses", _lapse(s, name, owner)
         else:
             given_up = owner._replace(phase="given up")
@@ -212,7 +254,7 @@
         for order in s.orders
     )
     lapsed = s.minions[number]
-    if lapsed.token == (1 if name == "first" else 2):
+    if lapsed.token == (1 if name == "first" else 2) and not lapsed.extended:
         lapsed = lapsed._replace(lease=False, running=0)
     freed = owner._replace(phase="waiting")
     return _with(s, number, lapsed)._replace(orders=orders, **{name: freed})
@@ -234,7 +276,7 @@
             out_of_reach=owner.out_of_reach - {number},
             unsettled=owner.unsettled - settled,
         )
-        held = minion._replace(lease=True, token=token)
+        held = minion._replace(lease=True, token=token, extended=False)
         yield (
             f"{name} holds {number} again",
             _with(s, number, held)._replace(**{name: back}),
@@ -259,7 +301,7 @@
             seen = seen._replace(phase="found", minion=number, run=minion.running)
         elif minion.running and owner.phase == "waiting":
             seen = seen._replace(phase="active", minion=number, run=minion.running)
-        fenced = minion._replace(token=2, lease=True)
+        fenced = minion._replace(token=2, lease=True, extended=False)
         yield f"second fences {number}", _with(s, number, fenced)._replace(second=seen)
     if owner.fenced == frozenset(MINIONS) and owner.phase in ("settling", "found"):
         phase = "waiting" if owner.phase == "settling" else "active"
--- a/tests/spec/test_pool_protocol.py
+++ b/tests/spec/test_pool_protocol.py
@@ -17,6 +17,7 @@
     PoolVariant.SILENT_IS_DEAD: "never_two_runs",
     PoolVariant.HOLD_FIRST: "never_two_runs",
     PoolVariant.UNCONFIRMED: "never_two_runs",
+    PoolVariant.UNEXTENDED: "never_two_runs",
     PoolVariant.FORGETFUL: "not_run_is_true",
 }
 
