Pass what all links share once, and ask in one place whether minions were reached

The directory of pools kept eight arguments only to hand them to each link: they are bound once. Whether every minion was reached was worked out in two places of the owner; a property of links was used by nobody; two process tests had the same settings text.

--- a/src/brasstray/host/pool_directory.py
+++ b/src/brasstray/host/pool_directory.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from datetime import timedelta
+from functools import partial
 from typing import TYPE_CHECKING
 
 from brasstray.host.owner_reach import OwnerReach
@@ -39,13 +40,18 @@
         up: Callable[[PoolId], None],
     ) -> None:
         self._identity = identity
-        self._opener = opener
         self._clock = clock
-        self._timing = timing
-        self._events = events
-        self._version = version
-        self._take = take
-        self._up = up
+        self._new_link = partial(
+            PoolLink,
+            identity=identity,
+            opener=opener,
+            clock=clock,
+            timing=timing,
+            events=events,
+            version=version,
+            take=take,
+            up=up,
+        )
         self._owned: dict[PoolId, OwnedPool] = {}
         self._links: dict[PoolId, PoolLink] = {}
         self._taken: dict[PoolId, int] = {}
@@ -98,18 +104,7 @@
         if owned.owner.incarnation == self._identity.incarnation:
             return
         assert self._group is not None
-        link = self._links[pool] = PoolLink(
-            pool,
-            owned,
-            self._identity,
-            self._opener,
-            self._clock,
-            self._timing,
-            self._events,
-            self._version,
-            self._take,
-            self._up,
-        )
+        link = self._links[pool] = self._new_link(pool, owned)
         self._group.start_soon(link.run)
 
     def _drop_link(self, pool: PoolId) -> None:
--- a/src/brasstray/host/pool_link.py
+++ b/src/brasstray/host/pool_link.py
@@ -63,11 +63,6 @@
         self._reach = OwnerReach.EXPECTED
         self._learned_at = clock.monotonic()
 
-    @property
-    def owned(self) -> OwnedPool:
-        """Return the owner that the link leads to."""
-        return self._owned
-
     @property
     def state(self) -> PoolState | None:
         """Return what the owner last said, while it is in reach."""
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -181,7 +181,7 @@
         await self._listed.wait()
         deadline = self._clock.monotonic() + self._timing.settle_patience
         while self._clock.monotonic() < deadline:
-            if all(m.reach is not Reach.NEW for m in self.minions):
+            if self._all_reached:
                 break
             await self._clock.sleep(5 * _MILLISECOND)
         self._settled = True
@@ -200,13 +200,15 @@
         reach and an earlier one may: nobody can tell, so the job is given up. Without
         the last owner's list of minions nobody can tell either.
         """
-        out_of_reach = self._inherited is None or any(
-            minion.reach is Reach.NEW for minion in self.minions
-        )
-        if out_of_reach:
-            self._book.give_up(task)
-        else:
+        if self._inherited is not None and self._all_reached:
             self._book.queue(task)
+        else:
+            self._book.give_up(task)
+
+    @property
+    def _all_reached(self) -> bool:
+        """Tell whether every minion has been asked under this owner's token."""
+        return all(minion.reach is not Reach.NEW for minion in self.minions)
 
     def _stop_unclaimed(self) -> None:
         for session in self._roster.sessions:
--- a/tests/daemon/test_pool_daemon.py
+++ b/tests/daemon/test_pool_daemon.py
@@ -17,7 +17,7 @@
 PATIENCE_SECONDS = 30
 SETTINGS = """
 [host]
-name = edge-1
+name = {name}
 data_centre = utrecht-a
 callers = 127.0.0.1:{callers}
 ready = 127.0.0.1:{ready}
@@ -89,7 +89,7 @@
     def run(**changes):
         names = ("callers", "ready", "peers", "metrics", "store")
         values = dict(zip(names, free_ports(5), strict=True)) | {"grace": 2} | changes
-        process = Process(tmp_path, SETTINGS.format(**values))
+        process = Process(tmp_path, SETTINGS.format(name="edge-1", **values))
         process.values = values
         started.append(process)
         return process
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -11,7 +11,12 @@
 import anyio
 import pytest
 import uvicorn
-from tests.daemon.test_pool_daemon import PATIENCE_SECONDS, Process, free_ports
+from tests.daemon.test_pool_daemon import (
+    PATIENCE_SECONDS,
+    SETTINGS,
+    Process,
+    free_ports,
+)
 from typer.testing import CliRunner
 
 from brasstray.batch.resources import Resources
@@ -25,24 +30,7 @@
 from brasstray_standins.leased_minion_app import LeasedMinionApp
 from brasstray_standins.memory_store import MemoryStore
 
-SETTINGS = """
-[host]
-name = {name}
-data_centre = utrecht-a
-callers = 127.0.0.1:{callers}
-ready = 127.0.0.1:{ready}
-peers = 127.0.0.1:{peers}
-metrics = 127.0.0.1:{metrics}
-
-[store]
-address = 127.0.0.1:{store}
-
-[minions]
-remote_factor = 1.5
-
-[stop]
-grace_seconds = 2
-"""
+GRACE_SECONDS = 2
 ROUTE = {"Name": "r", "Host": "h", "Prefix": "/q/", "Service": "s", "Attempts": 2}
 OBJECTIVE = {"SloMs": 500, "Stretch": 1.6}
 CONFIG = {"Version": 1, "Routes": [ROUTE | OBJECTIVE]}
@@ -126,7 +114,12 @@
     for number in range(2):
         names = ("callers", "ready", "peers", "metrics")
         values = dict(zip(names, free_ports(4), strict=True))
-        text = SETTINGS.format(name=f"edge-{number}", store=platform.ports[0], **values)
+        text = SETTINGS.format(
+            name=f"edge-{number}",
+            store=platform.ports[0],
+            grace=GRACE_SECONDS,
+            **values,
+        )
         folder = tmp_path / str(number)
         folder.mkdir()
         process = Process(folder, text)
