Wait at minions for a quarter of the lease, and tick only where something is due

Cause: a busy minion was looked at ten times a second beside the looks that its ends answer, and an idle host woke some 130 times a second. A hold now waits 200 ms (100 before), of a lease of 800; room is told to other owners when it changes instead of looking for it each 10 ms; a host without jobs or a pool looks for a standstill each 40 ms instead of 20; settings are parsed only if their text has changed. Ruled out: holds of 400 ms, which leave a takeover too little of the lease. One test counted a takeover as the sum of two pools' versions, which depends on which of them was claimed last, as the store counts all writes together: it now takes the highest, as strict.

--- a/src/brasstray/coordinator/coordinator.py
+++ b/src/brasstray/coordinator/coordinator.py
@@ -260,6 +260,9 @@
         """Give up jobs whose tasks are at pools that stay out of reach."""
         while True:
             await self._clock.sleep(self._timing.tick)
+            if not self._active:
+                self._lost_since.clear()
+                continue
             self.give_up_lost(self._clock.monotonic())
 
     def give_up_lost(self, now: timedelta) -> None:
--- a/src/brasstray/daemon/pool_daemon.py
+++ b/src/brasstray/daemon/pool_daemon.py
@@ -142,10 +142,18 @@
                 self.reload()
 
     async def _reload_on_change(self) -> None:
-        """Reread the settings, as they may change without a signal."""
+        """Reread the settings where their text has changed without a signal."""
+        known = b""
         while True:
             await self._clock.sleep(RELOAD_INTERVAL)
-            self.reload()
+            try:
+                text = self._path.read_bytes()
+            except OSError:
+                # The reader of the settings meets the same error and reports it.
+                text = b""
+            if text != known:
+                known = text
+                self.reload()
 
     def reload(self) -> None:
         """Put changed settings in force; keep the old ones if the new are not valid.
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -273,6 +273,7 @@
             if self._owner is None:
                 await self._clock.sleep(self._timing.ping)
                 continue
+            await self._owner.wait_for_change()
             await self._clock.sleep(self._timing.load_push)
             places = self._load().places
             if places > told or (told and not places):
@@ -377,7 +378,9 @@
         """Find out that the process stood still, while others acted for it."""
         last = self._outside.uptime()
         while True:
-            await self._clock.sleep(self._timing.tick)
+            at_work = self._owner is not None or self._coordinator.active
+            timing = self._timing
+            await self._clock.sleep(timing.tick if at_work else timing.calm_tick)
             now = self._outside.uptime()
             stood = now - last
             last = now
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -102,6 +102,7 @@
         self._settled = False
         self._deposed = anyio.Event()
         self._wake = anyio.Event()
+        self._changed = anyio.Event()
         self._review_due = False
         self._load = PoolLoad()
         self._load_known_until = timedelta(0)
@@ -150,6 +151,7 @@
                 # Guards against orders after the end: messages and callers that end
                 # still reach this object for a moment, and it must not act any more.
                 self._deposed.set()
+                self._changed.set()
                 group.cancel_scope.cancel()
 
     def depose(self) -> None:
@@ -230,7 +232,8 @@
             await self._clock.sleep(TIME_STEP)
             self._lag.note(self._clock.monotonic() - due)
             self._book.forget_old_ends()
-            self.review()
+            if any(step.waiting for step in self._book.steps):
+                self.review()
 
     # Requests
 
@@ -326,6 +329,12 @@
         took most of an overloaded owner's time.
         """
         self._wake.set()
+        self._changed.set()
+
+    async def wait_for_change(self) -> None:
+        """Wait until the load may have changed since this was called last."""
+        await self._changed.wait()
+        self._changed = anyio.Event()
 
     async def _dispatch_when_woken(self) -> None:
         while True:
--- a/src/brasstray/pool/timing.py
+++ b/src/brasstray/pool/timing.py
@@ -18,7 +18,9 @@
       of 1 s, and long enough for a takeover.
     - `clock_rate_error`: how much slower than ours a minion's clock may run.
     - `hold_wait`, `idle_hold_wait`: how long a hold waits for an end, with and without
-      runs; also how soon a minion that has died is found out.
+      runs; also how soon a minion that has died is found out. An end answers a hold at
+      once, so that longer waits only save calls; a quarter of the lease leaves the rest
+      to a takeover.
     - `shaky_hold_wait`: the same for `shaky_for` after an answer was lost.
     - `call_patience`, `look_patience`: how long a start, a stop or the answer of a look
       may take. A sound one takes 2 ms; a start given up too early is looked for.
@@ -35,7 +37,7 @@
 
     lease: timedelta = _ms(800)
     clock_rate_error: float = 0.02
-    hold_wait: timedelta = _ms(100)
+    hold_wait: timedelta = _ms(200)
     idle_hold_wait: timedelta = _ms(400)
     shaky_hold_wait: timedelta = _ms(30)
     shaky_for: timedelta = _ms(3_000)
--- a/tests/host/test_links.py
+++ b/tests/host/test_links.py
@@ -70,8 +70,7 @@
             system.store.down = True
             system.kill(system.owner(0))
 
-        load = await under_load(system, strike, jobs=60)
-        return load
+        return await under_load(system, strike, jobs=60)
 
     load, system = play_pools(story)
     late = [
--- a/tests/host/test_pool_failures.py
+++ b/tests/host/test_pool_failures.py
@@ -544,7 +544,8 @@
         }
 
     (load, before, after), system = play_pools(story)
-    assert sum(after.values()) - sum(before.values()) == 1
+    # The store counts its writes once for all keys: one takeover is one more.
+    assert max(after.values()) - max(before.values()) == 1
     assert system.book.broken == []
     assert load.succeeded >= 95
 
