Describe what hosts send and read with msgspec, and load no pydantic

Cause: memory is dear and 97 hosts pay for each megabyte; pydantic and its models were 10 MB of a host's 48.5 at import, and a quarter of the processor time of a start, which on a weak host delays every restart. Ruled out: leaving only the messages to msgspec, since loading pydantic at all is most of it. Messages between hosts, the platform's bodies, the pool's settings and its record in the store are structures now; host status loads pydantic at its first request, as before.

--- a/src/brasstray/host/owner_record.py
+++ b/src/brasstray/host/owner_record.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from pydantic import BaseModel, ConfigDict
+import msgspec
 
 from brasstray.batch.ids import FencingToken, PoolId
 from brasstray.job.ids import HostName, IncarnationId
@@ -15,26 +15,22 @@
 POOL_PREFIX = "brasstray/pools/"
 
 
-class OwnerRecord(BaseModel):
+class OwnerRecord(msgspec.Struct, frozen=True):
     """Hold the incarnation that owns a pool and where it is reached."""
 
-    model_config = ConfigDict(frozen=True)
-
     host: HostName
     incarnation: IncarnationId
     address: str
     port: int
 
 
-class OwnedPool(BaseModel):
+class OwnedPool(msgspec.Struct, frozen=True):
     """Hold an owner and its fencing token, which is the version of its entry.
 
     The store's versions only rise, so a later owner has a higher token without any
     count of our own.
     """
 
-    model_config = ConfigDict(frozen=True)
-
     owner: OwnerRecord
     token: FencingToken
 
@@ -51,7 +47,7 @@
 
 def owned_pool(entry: StoreEntry) -> OwnedPool:
     """Return what `entry` says; raise ValueError if it says nothing readable."""
-    owner = OwnerRecord.model_validate_json(entry.value)
+    owner = msgspec.json.decode(entry.value, type=OwnerRecord)
     return OwnedPool(owner=owner, token=FencingToken(entry.version))
 
 
--- a/src/brasstray/host/ownership.py
+++ b/src/brasstray/host/ownership.py
@@ -5,6 +5,9 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+import msgspec
+
+from brasstray.batch.ids import FencingToken
 from brasstray.host.owner_reach import OwnerReach
 from brasstray.host.owner_record import (
     POOL_PREFIX,
@@ -209,7 +212,7 @@
             port=self._identity.peer_port,
         )
         key = pool_key(self._pool)
-        value = record.model_dump_json().encode()
+        value = msgspec.json.encode(record)
         expected = ABSENT if owned is None else int(owned.token)
         try:
             version = await self._store.swap(key, value, expected)
@@ -221,7 +224,7 @@
             await self._clock.sleep(self._timing.store_retry)
             await self._refresh()
         else:
-            entry_owner = OwnedPool(owner=record, token=version)
+            entry_owner = OwnedPool(owner=record, token=FencingToken(version))
             self._directory.learn(self._pool, entry_owner)
             self._hold(entry_owner)
 
--- a/src/brasstray/peer/message/config_text.py
+++ b/src/brasstray/peer/message/config_text.py
@@ -2,15 +2,12 @@
 
 from __future__ import annotations
 
-from typing import Literal
+from brasstray.peer.message.host_message import HostMessage
 
-from brasstray.peer.message.peer_message import PeerMessage
 
-
-class ConfigText(PeerMessage):
+class ConfigText(HostMessage, frozen=True, kw_only=True, tag="config_text"):
     """Hold a configuration as it was read from the store."""
 
-    kind: Literal["config_text"] = "config_text"
     text: bytes
 
 
--- a/src/brasstray/peer/message/hello.py
+++ b/src/brasstray/peer/message/hello.py
@@ -2,17 +2,14 @@
 
 from __future__ import annotations
 
-from typing import Literal
-
 from brasstray.batch.ids import ConfigVersion
 from brasstray.job.ids import HostName, IncarnationId
-from brasstray.peer.message.peer_message import PeerMessage
+from brasstray.peer.message.host_message import HostMessage
 
 
-class Hello(PeerMessage):
+class Hello(HostMessage, frozen=True, kw_only=True, tag="hello"):
     """Say who opens a link, and which configuration it has."""
 
-    kind: Literal["hello"] = "hello"
     host: HostName
     incarnation: IncarnationId
     config_version: ConfigVersion
--- a/src/brasstray/peer/message/ping.py
+++ b/src/brasstray/peer/message/ping.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-from typing import Literal
-
 from brasstray.batch.ids import ConfigVersion
-from brasstray.peer.message.peer_message import PeerMessage
+from brasstray.peer.message.host_message import HostMessage
 
 
-class Ping(PeerMessage):
+class Ping(HostMessage, frozen=True, kw_only=True, tag="ping"):
     """Show that the sender lives, and which configuration it has."""
 
-    kind: Literal["ping"] = "ping"
     config_version: ConfigVersion
 
 
--- a/src/brasstray/peer/message/pool_minions.py
+++ b/src/brasstray/peer/message/pool_minions.py
@@ -2,19 +2,16 @@
 
 from __future__ import annotations
 
-from typing import Literal
-
-from brasstray.peer.message.peer_message import PeerMessage
+from brasstray.peer.message.host_message import HostMessage
 from brasstray.pool.minion_entry import MinionEntry
 
 
-class PoolMinions(PeerMessage):
+class PoolMinions(HostMessage, frozen=True, kw_only=True, tag="pool_minions"):
     """Tell which minions the owner holds, also those that the store does not list.
 
     Whoever takes the pool over must find out what runs on all of them.
     """
 
-    kind: Literal["pool_minions"] = "pool_minions"
     minions: tuple[MinionEntry, ...]
 
 
--- a/src/brasstray/peer/message/pool_state.py
+++ b/src/brasstray/peer/message/pool_state.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-from typing import Literal
-
 from brasstray.batch.ids import ConfigVersion, FencingToken, PoolId
 from brasstray.job.ids import IncarnationId
-from brasstray.peer.message.peer_message import PeerMessage
+from brasstray.peer.message.host_message import HostMessage
 
 
-class PoolState(PeerMessage):
+class PoolState(HostMessage, frozen=True, kw_only=True, tag="pool_state"):
     """Tell which pool the sender owns, if any, and how much room it has.
 
     `incarnation` tells a process that has not heard yet that its claim was written from
@@ -18,7 +16,6 @@
     what its minions run. `resigning` asks another host to take the pool.
     """
 
-    kind: Literal["pool_state"] = "pool_state"
     incarnation: IncarnationId
     pool: PoolId | None
     token: FencingToken
--- a/src/brasstray/peer/message/run_tasks.py
+++ b/src/brasstray/peer/message/run_tasks.py
@@ -2,14 +2,12 @@
 
 from __future__ import annotations
 
-from typing import Literal
-
 from brasstray.batch.ids import BatchId
 from brasstray.job.ids import ServiceName
-from brasstray.peer.message.peer_message import PeerMessage
+from brasstray.peer.message.host_message import HostMessage
 
 
-class RunTasks(PeerMessage):
+class RunTasks(HostMessage, frozen=True, kw_only=True, tag="run_tasks"):
     """Ask the owner of a pool to run some tasks of one step of a job.
 
     `due_ms`, `useful_ms` and `limit_ms` count from the sending: when the job's
@@ -19,7 +17,6 @@
     the job may have been sent to a minion before.
     """
 
-    kind: Literal["run_tasks"] = "run_tasks"
     batch: BatchId
     step: int
     indices: tuple[int, ...]
--- a/src/brasstray/peer/message/stop_tasks.py
+++ b/src/brasstray/peer/message/stop_tasks.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-from typing import Literal
-
 from brasstray.batch.ids import BatchId
-from brasstray.peer.message.peer_message import PeerMessage
+from brasstray.peer.message.host_message import HostMessage
 
 
-class StopTasks(PeerMessage):
+class StopTasks(HostMessage, frozen=True, kw_only=True, tag="stop_tasks"):
     """Ask that no task of a job starts any more and that those active are stopped."""
 
-    kind: Literal["stop_tasks"] = "stop_tasks"
     batch: BatchId
 
 
--- a/src/brasstray/peer/message/tasks_ended.py
+++ b/src/brasstray/peer/message/tasks_ended.py
@@ -2,16 +2,13 @@
 
 from __future__ import annotations
 
-from typing import Literal
-
 from brasstray.batch.ids import BatchId
-from brasstray.peer.message.peer_message import PeerMessage
+from brasstray.peer.message.host_message import HostMessage
 
 
-class TasksEnded(PeerMessage):
+class TasksEnded(HostMessage, frozen=True, kw_only=True, tag="tasks_ended"):
     """Tell which tasks are done and which have failed for good."""
 
-    kind: Literal["tasks_ended"] = "tasks_ended"
     batch: BatchId
     step: int
     done: tuple[int, ...] = ()
--- a/src/brasstray/peer/message/tasks_returned.py
+++ b/src/brasstray/peer/message/tasks_returned.py
@@ -2,13 +2,11 @@
 
 from __future__ import annotations
 
-from typing import Literal
-
 from brasstray.batch.ids import BatchId, PoolId
-from brasstray.peer.message.peer_message import PeerMessage
+from brasstray.peer.message.host_message import HostMessage
 
 
-class TasksReturned(PeerMessage):
+class TasksReturned(HostMessage, frozen=True, kw_only=True, tag="tasks_returned"):
     """Give tasks back that were not started, and name a pool that has room.
 
     Without a pool, the tasks cannot be run before their caller leaves; a new job would
@@ -16,7 +14,6 @@
     before, whatever became of it; `in_doubt` that they may run out of reach.
     """
 
-    kind: Literal["tasks_returned"] = "tasks_returned"
     batch: BatchId
     step: int
     indices: tuple[int, ...]
--- a/src/brasstray/peer/pool_messages.py
+++ b/src/brasstray/peer/pool_messages.py
@@ -2,10 +2,8 @@
 
 from __future__ import annotations
 
-from typing import Annotated
-
 import cbor2
-from pydantic import Field, TypeAdapter, ValidationError
+import msgspec
 
 from brasstray.peer.errors import UnreadableMessageError
 from brasstray.peer.message.config_text import ConfigText
@@ -18,7 +16,7 @@
 from brasstray.peer.message.tasks_ended import TasksEnded
 from brasstray.peer.message.tasks_returned import TasksReturned
 
-PoolMessage = Annotated[
+PoolMessage = (
     Hello
     | Ping
     | ConfigText
@@ -27,24 +25,27 @@
     | RunTasks
     | StopTasks
     | TasksEnded
-    | TasksReturned,
-    Field(discriminator="kind"),
-]
-_FRAME: TypeAdapter[list[PoolMessage]] = TypeAdapter(list[PoolMessage])
+    | TasksReturned
+)
+# What CBOR carries as it is.
+_CARRIED = (bytes,)
+
+
+class _Frame(msgspec.Struct, frozen=True, array_like=True):
+    # The types in a structure are worked out once; a bare list's at every call.
+    messages: list[PoolMessage]
 
 
 def encode_frame(messages: list[PoolMessage]) -> bytes:
     """Return `messages` as one CBOR frame; defaults are left out."""
-    return cbor2.dumps(
-        [{"kind": m.kind, **m.model_dump(exclude_defaults=True)} for m in messages]
-    )
+    return cbor2.dumps([msgspec.to_builtins(messages, builtin_types=_CARRIED)])
 
 
 def decode_frame(data: bytes) -> list[PoolMessage]:
     """Return the messages in `data`; raise UnreadableMessageError if it has none."""
     try:
-        return _FRAME.validate_python(cbor2.loads(data))
-    except (cbor2.CBORDecodeError, ValidationError) as error:
+        return msgspec.convert(cbor2.loads(data), type=_Frame).messages
+    except (cbor2.CBORDecodeError, msgspec.ValidationError, RecursionError) as error:
         raise UnreadableMessageError(str(error)) from error
 
 
--- a/src/brasstray/platform/body.py
+++ b/src/brasstray/platform/body.py
@@ -2,23 +2,45 @@
 
 from __future__ import annotations
 
-from pydantic import BaseModel, ConfigDict
-from pydantic.alias_generators import to_pascal
+from functools import cache
+from typing import TYPE_CHECKING, Any
 
+import msgspec
 
-class Body(BaseModel):
+if TYPE_CHECKING:
+    from typing import Self
+
+
+class UnreadableBodyError(Exception):
+    """The text is no body of the kind that was asked for."""
+
+
+class Body(
+    msgspec.Struct, rename="pascal", frozen=True, omit_defaults=True, kw_only=True
+):
     """Spell the fields of subclasses in capitals, as TimeoutMs for timeout_ms.
 
-    Fields that are not known are ignored: newer ones may come.
+    Fields that are not known are ignored: newer ones may come. Numbers may come as
+    text or as whole fractions.
     """
 
-    model_config = ConfigDict(
-        alias_generator=to_pascal, populate_by_name=True, extra="ignore", frozen=True
-    )
-
     def encode(self) -> bytes:
-        """Return the JSON; fields that are not set are left out."""
-        return self.model_dump_json(by_alias=True, exclude_none=True).encode()
+        """Return the JSON; fields that have their default are left out."""
+        return msgspec.json.encode(self)
+
+    @classmethod
+    def decode(cls, text: bytes) -> Self:
+        """Return the body in `text`; raise UnreadableBodyError if it has none."""
+        try:
+            found: Self = _decoder(cls).decode(text)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+            raise UnreadableBodyError(str(error)) from error
+        return found
+
+
+@cache
+def _decoder(kind: type) -> msgspec.json.Decoder[Any]:
+    return msgspec.json.Decoder(kind, strict=False)
 
 
-__all__ = ["Body"]
+__all__ = ["Body", "UnreadableBodyError"]
--- a/src/brasstray/platform/configuration_body.py
+++ b/src/brasstray/platform/configuration_body.py
@@ -4,17 +4,17 @@
 
 from datetime import timedelta
 
-from pydantic import Field, ValidationError
+import msgspec
 
 from brasstray.batch.configuration import BodyLimits, Configuration
 from brasstray.batch.ids import ConfigVersion, QueueName
 from brasstray.batch.queue import Queue
 from brasstray.host.config_source import UnreadableConfigError
 from brasstray.job.ids import ServiceName
-from brasstray.platform.body import Body
+from brasstray.platform.body import Body, UnreadableBodyError
 
 
-class Route(Body):
+class Route(Body, frozen=True, kw_only=True):
     """Describe a queue; `slo_ms` is what its objective has beyond the stretch."""
 
     name: str
@@ -40,25 +40,25 @@
         )
 
 
-class Limits(Body):
+class Limits(Body, frozen=True, kw_only=True):
     """Bound what callers send."""
 
     max_body_bytes: int = BodyLimits().body_bytes
 
 
-class ConfigurationBody(Body):
+class ConfigurationBody(Body, frozen=True, kw_only=True):
     """Describe a whole configuration."""
 
     version: int
-    routes: list[Route] = Field(default_factory=list)
-    limits: Limits = Field(default_factory=Limits)
+    routes: list[Route] = msgspec.field(default_factory=list)
+    limits: Limits = msgspec.field(default_factory=Limits)
 
 
 def parse_configuration(text: bytes) -> Configuration:
     """Return the configuration in `text`; raise UnreadableConfigError."""
     try:
-        body = ConfigurationBody.model_validate_json(text)
-    except ValidationError as error:
+        body = ConfigurationBody.decode(text)
+    except UnreadableBodyError as error:
         raise UnreadableConfigError(str(error)) from error
     return Configuration(
         ConfigVersion(body.version),
--- a/src/brasstray/platform/job_bodies.py
+++ b/src/brasstray/platform/job_bodies.py
@@ -3,17 +3,19 @@
 from __future__ import annotations
 
 from datetime import timedelta
+from typing import Annotated
 
-from pydantic import Field, ValidationError
+import msgspec
 
 from brasstray.batch.batch import Batch
 from brasstray.batch.ids import BatchId
 from brasstray.batch.resources import Resources
 from brasstray.batch.step import Step
-from brasstray.platform.body import Body
+from brasstray.platform.body import Body, UnreadableBodyError
 
 # The largest job at full size has 1,700 tasks.
 MOST_TASKS = 10_000
+_Count = Annotated[int, msgspec.Meta(ge=0)]
 
 
 class UnreadableJobError(Exception):
@@ -24,18 +26,18 @@
     """The job asks for what this system does not do; nothing of it runs."""
 
 
-class StepBody(Body):
+class StepBody(Body, frozen=True, kw_only=True):
     """Describe a step; `cpu` counts thousandths of a core, `after` earlier steps."""
 
-    count: int = Field(default=1, ge=1, le=MOST_TASKS)
-    cpu: int = Field(default=0, ge=0)
-    mem_mb: int = Field(default=0, ge=0)
-    gpu: int = Field(default=0, ge=0)
-    est_ms: int = Field(default=1, ge=0)
-    after: list[int] = Field(default_factory=list)
+    count: Annotated[int, msgspec.Meta(ge=1, le=MOST_TASKS)] = 1
+    cpu: _Count = 0
+    mem_mb: _Count = 0
+    gpu: _Count = 0
+    est_ms: _Count = 1
+    after: list[int] = msgspec.field(default_factory=list)
     data_rack: str = ""
     required_label: str = ""
-    max_per_server: int = Field(default=0, ge=0)
+    max_per_server: _Count = 0
     gang: bool = False
     target_ms: int = 0
 
@@ -56,11 +58,11 @@
         )
 
 
-class JobBody(Body):
+class JobBody(Body, frozen=True, kw_only=True):
     """Describe a job; `best_effort` ones are answered when they end, and not stored."""
 
     spec: str = ""
-    steps: list[StepBody] = Field(min_length=1)
+    steps: Annotated[list[StepBody], msgspec.Meta(min_length=1)]
     best_effort: bool = False
     long_running: bool = False
     repeat_count: int = 0
@@ -69,13 +71,9 @@
 def parse_job(batch: str, text: bytes) -> Batch:
     """Return the job in `text`; raise UnreadableJobError or UnsupportedJobError."""
     try:
-        body = JobBody.model_validate_json(text)
-    except ValidationError as error:
-        problems = "; ".join(
-            f"{'.'.join(map(str, e['loc'])) or 'body'}: {e['msg']}"
-            for e in error.errors()
-        )
-        raise UnreadableJobError(problems) from error
+        body = JobBody.decode(text)
+    except UnreadableBodyError as error:
+        raise UnreadableJobError(str(error)) from error
     if not body.best_effort or body.long_running or body.repeat_count:
         raise UnsupportedJobError("only jobs with BestEffort are served")
     steps = tuple(step.step(number) for number, step in enumerate(body.steps))
--- a/src/brasstray/platform/minion_bodies.py
+++ b/src/brasstray/platform/minion_bodies.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from pydantic import Field
+import msgspec
 
 from brasstray.batch.ids import RunNumber
 from brasstray.platform.body import Body
@@ -19,7 +19,7 @@
 }
 
 
-class StartBody(Body):
+class StartBody(Body, frozen=True, kw_only=True):
     """Ask for a start; `until_ms` is on the minion's clock, for all that runs there."""
 
     task: str
@@ -29,7 +29,7 @@
     fencing_token: int
 
 
-class StopBody(Body):
+class StopBody(Body, frozen=True, kw_only=True):
     """Ask for a stop."""
 
     task: str
@@ -37,7 +37,7 @@
     fencing_token: int
 
 
-class HoldBody(Body):
+class HoldBody(Body, frozen=True, kw_only=True):
     """Ask what runs; `last_seen` acknowledges the ends up to that number."""
 
     fencing_token: int
@@ -46,19 +46,19 @@
     wait_ms: int | None = None
 
 
-class Reply(Body):
+class Reply(Body, frozen=True, kw_only=True):
     """Hold what a start or a refusal says; `clock_ms` is the minion's clock."""
 
     clock_ms: int = 0
     reason: str = ""
 
 
-class HoldReply(Body):
+class HoldReply(Body, frozen=True, kw_only=True):
     """Hold rows of task, run, checkpoint, percent and more, and of ends."""
 
     clock_ms: int
-    running: list[list[str | int | float]] = Field(default_factory=list)
-    finished: list[list[str | int | float]] = Field(default_factory=list)
+    running: list[list[str | int | float]] = msgspec.field(default_factory=list)
+    finished: list[list[str | int | float]] = msgspec.field(default_factory=list)
 
     def look(self) -> Look:
         """Return what the rows say; raise ValueError if they cannot be read."""
--- a/src/brasstray/platform/minion_listing.py
+++ b/src/brasstray/platform/minion_listing.py
@@ -4,11 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from pydantic import Field, ValidationError
+import msgspec
 
 from brasstray.batch.resources import Resources
 from brasstray.job.ids import DataCentreName, MinionId, ServiceName
-from brasstray.platform.body import Body
+from brasstray.platform.body import Body, UnreadableBodyError
 from brasstray.pool.minion_entry import MinionEntry
 
 if TYPE_CHECKING:
@@ -19,7 +19,7 @@
 _DRAINING = "draining"
 
 
-class CapacityBody(Body):
+class CapacityBody(Body, frozen=True, kw_only=True):
     """Hold a minion's resources; `cpu` counts thousandths of a core."""
 
     cpu: int = 0
@@ -27,15 +27,15 @@
     gpu: int = 0
 
 
-class ServerBody(Body):
+class ServerBody(Body, frozen=True, kw_only=True):
     """Describe a minion; its id is the key's last part only."""
 
     service: str
     address: str
     zone: str
     state: str = "ready"
-    capacity: CapacityBody = Field(default_factory=CapacityBody)
-    labels: list[str] = Field(default_factory=list)
+    capacity: CapacityBody = msgspec.field(default_factory=CapacityBody)
+    labels: list[str] = msgspec.field(default_factory=list)
 
 
 class MinionListing:
@@ -53,7 +53,7 @@
 
 def _minion(entry: StoreEntry) -> MinionEntry | None:
     try:
-        body = ServerBody.model_validate_json(entry.value)
+        body = ServerBody.decode(entry.value)
         host, _, port = body.address.rpartition(":")
         return MinionEntry(
             MinionId(entry.name.removeprefix(SERVERS_PREFIX)),
@@ -65,7 +65,7 @@
             tuple(body.labels),
             body.state == _DRAINING,
         )
-    except (ValidationError, ValueError):
+    except (UnreadableBodyError, ValueError):
         # An entry in a format that this version does not know is no minion to it.
         return None
 
--- a/src/brasstray/platform/platform_minions.py
+++ b/src/brasstray/platform/platform_minions.py
@@ -4,10 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from pydantic import ValidationError
-
 from brasstray.http.connections import Connections
 from brasstray.http.errors import HttpCallError
+from brasstray.platform.body import UnreadableBodyError
 from brasstray.platform.minion_bodies import (
     HoldBody,
     HoldReply,
@@ -70,8 +69,8 @@
         if response.status != 200:
             raise MinionSilentError(f"status {response.status}")
         try:
-            return HoldReply.model_validate_json(response.content).look()
-        except (ValidationError, ValueError, KeyError, IndexError) as error:
+            return HoldReply.decode(response.content).look()
+        except (UnreadableBodyError, ValueError, KeyError, IndexError) as error:
             raise MinionSilentError(f"unreadable answer: {error!r}") from error
 
     async def start(
@@ -147,8 +146,8 @@
 
 def _reply(response: HttpReply) -> Reply:
     try:
-        return Reply.model_validate_json(response.content)
-    except ValidationError as error:
+        return Reply.decode(response.content)
+    except UnreadableBodyError as error:
         raise MinionSilentError(f"unreadable answer: {error}") from error
 
 
--- a/src/brasstray/platform/platform_store.py
+++ b/src/brasstray/platform/platform_store.py
@@ -6,10 +6,9 @@
 from typing import TYPE_CHECKING, TypeVar
 from urllib.parse import urlencode
 
-from pydantic import ValidationError
-
 from brasstray.http.connections import Connections
 from brasstray.http.errors import HttpCallError
+from brasstray.platform.body import UnreadableBodyError
 from brasstray.platform.store_bodies import (
     Committed,
     Events,
@@ -136,8 +135,8 @@
     if response.status != 200:
         raise StoreUnavailableError(f"status {response.status}")
     try:
-        return kind.model_validate_json(response.content)
-    except ValidationError as error:
+        return kind.decode(response.content)
+    except UnreadableBodyError as error:
         raise StoreUnavailableError(f"unreadable answer: {error}") from error
 
 
--- a/src/brasstray/platform/store_bodies.py
+++ b/src/brasstray/platform/store_bodies.py
@@ -4,13 +4,13 @@
 
 from base64 import b64decode, b64encode
 
-from pydantic import Field
+import msgspec
 
 from brasstray.platform.body import Body
 from brasstray.store.entry import StoreEntry
 
 
-class Item(Body):
+class Item(Body, frozen=True, kw_only=True):
     """Hold a key and its value in base64; `removed` marks an event of removal."""
 
     key: str
@@ -23,44 +23,44 @@
         return StoreEntry(self.key, b64decode(self.value), self.revision)
 
 
-class Page(Body):
+class Page(Body, frozen=True, kw_only=True):
     """Hold a page of items; the next begins after the last key."""
 
-    items: list[Item] = Field(default_factory=list, alias="items")
+    items: list[Item] = msgspec.field(default_factory=list, name="items")
     has_more: bool = False
     as_of: int
 
 
-class Events(Body):
+class Events(Body, frozen=True, kw_only=True):
     """Hold the changes under a prefix, and the revision to go on from."""
 
-    events: list[Item] = Field(default_factory=list, alias="events")
+    events: list[Item] = msgspec.field(default_factory=list, name="events")
     as_of: int
 
 
-class Expectation(Body):
+class Expectation(Body, frozen=True, kw_only=True):
     """Name the revision at which a key must be; 0 means that there is none."""
 
     key: str
     revision: int
 
 
-class Write(Body):
+class Write(Body, frozen=True, kw_only=True):
     """Name a key and its new value in base64."""
 
     key: str
     value: str
 
 
-class Transaction(Body):
+class Transaction(Body, frozen=True, kw_only=True):
     """Write and delete if all expectations hold."""
 
-    expect: list[Expectation] = Field(default_factory=list)
-    writes: list[Write] = Field(default_factory=list)
-    deletes: list[str] = Field(default_factory=list)
+    expect: list[Expectation] = msgspec.field(default_factory=list)
+    writes: list[Write] = msgspec.field(default_factory=list)
+    deletes: list[str] = msgspec.field(default_factory=list)
 
 
-class Committed(Body):
+class Committed(Body, frozen=True, kw_only=True):
     """Hold the revision that a transaction made."""
 
     revision: int
--- a/src/brasstray/settings/pool_settings.py
+++ b/src/brasstray/settings/pool_settings.py
@@ -4,56 +4,55 @@
 
 from configparser import ConfigParser, Error as ConfigParserError
 from dataclasses import dataclass
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Annotated
 
-from pydantic import BaseModel, ConfigDict, Field
+import msgspec
 from result import Err, Ok, Result
 
+from brasstray.settings.endpoint import Endpoint
 from brasstray.settings.problem import SettingsProblem
-from brasstray.settings.sections import EndpointText, Name
-from brasstray.settings.settings import read_section
+from brasstray.settings.struct_section import read_struct
 
 if TYPE_CHECKING:
     from pathlib import Path
 
 
-class _Section(BaseModel):
-    model_config = ConfigDict(extra="forbid", frozen=True)
+Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_-]{1,64}$")]
 
 
-class HostSection(_Section):
+class HostSection(msgspec.Struct, frozen=True, kw_only=True):
     """Say who the host is and where it listens."""
 
     name: Name
     data_centre: Name
-    callers: EndpointText
-    ready: EndpointText
-    peers: EndpointText
-    metrics: EndpointText
+    callers: Endpoint
+    ready: Endpoint
+    peers: Endpoint
+    metrics: Endpoint
 
 
-class StoreSection(_Section):
+class StoreSection(msgspec.Struct, frozen=True, kw_only=True):
     """Say where the platform's store is."""
 
-    address: EndpointText
+    address: Endpoint
 
 
-class MinionsSection(_Section):
+class MinionsSection(msgspec.Struct, frozen=True, kw_only=True):
     """Say how minions behave.
 
     `lease_ms` is the longest lease that they grant, `stop_ms` how long a stop takes,
     `remote_factor` how many times as long a task takes away from its data.
     """
 
-    lease_ms: int = Field(default=1_000, ge=200, le=60_000)
-    stop_ms: int = Field(default=50, ge=1, le=10_000)
-    remote_factor: float = Field(default=1.0, ge=1.0, le=100.0)
+    lease_ms: Annotated[int, msgspec.Meta(ge=200, le=60_000)] = 1_000
+    stop_ms: Annotated[int, msgspec.Meta(ge=1, le=10_000)] = 50
+    remote_factor: Annotated[float, msgspec.Meta(ge=1.0, le=100.0)] = 1.0
 
 
-class StopSection(_Section):
+class StopSection(msgspec.Struct, frozen=True, kw_only=True):
     """Say how long a host may take to leave, in seconds, once it is told to."""
 
-    grace_seconds: float = Field(default=6.0, ge=1.0, le=3_600.0)
+    grace_seconds: Annotated[float, msgspec.Meta(ge=1.0, le=3_600.0)] = 6.0
 
 
 @dataclass(frozen=True)
@@ -66,7 +65,7 @@
     stop: StopSection
 
 
-POOL_SECTIONS: dict[str, type[BaseModel]] = {
+POOL_SECTIONS: dict[str, type[msgspec.Struct]] = {
     "host": HostSection,
     "store": StoreSection,
     "minions": MinionsSection,
@@ -84,7 +83,7 @@
         return Err([SettingsProblem(str(path), "file", f"readable INI: {error}")])
     problems: list[SettingsProblem] = []
     sections = {
-        name: read_section(parser, name, kind, problems)
+        name: read_struct(parser, name, kind, problems)
         for name, kind in POOL_SECTIONS.items()
     }
     for name in parser.sections():
--- a/src/brasstray/settings/sections.py
+++ b/src/brasstray/settings/sections.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import ipaddress
-import re
 from typing import Annotated
 
 from pydantic import BaseModel, BeforeValidator, ConfigDict, Field
 
+from brasstray.settings.endpoint import Endpoint, parse_endpoint
+
 _NAME = r"^[A-Za-z0-9_-]{1,64}$"
 Name = Annotated[str, Field(pattern=_NAME)]
 
@@ -18,26 +18,8 @@
     return [part.strip() for part in text.split(",") if part.strip()]
 
 
-class Endpoint(BaseModel):
-    """Hold an IP address and a port."""
-
-    model_config = ConfigDict(frozen=True)
-
-    address: str
-    port: int
-
-
 def _endpoint(text: object) -> object:
-    if not isinstance(text, str):
-        return text
-    match = re.fullmatch(r"(.+):(\d{1,5})", text)
-    if match is None or int(match[2]) > 65_535:
-        raise ValueError("an IP address and a port, as 127.0.0.1:8080")
-    try:
-        ipaddress.ip_address(match[1])
-    except ValueError:
-        raise ValueError("an IP address and a port, as 127.0.0.1:8080") from None
-    return Endpoint(address=match[1], port=int(match[2]))
+    return parse_endpoint(text) if isinstance(text, str) else text
 
 
 EndpointText = Annotated[Endpoint, BeforeValidator(_endpoint)]
@@ -89,7 +71,6 @@
 
 
 __all__ = [
-    "Endpoint",
     "EntrySection",
     "JournalSection",
     "LimitsSection",
--- /dev/null
+++ b/src/brasstray/settings/struct_section.py
@@ -0,0 +1,47 @@
+"""Read a section of the settings into a structure, key by key."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any, TypeVar
+
+import msgspec
+
+from brasstray.settings.endpoint import Endpoint, parse_endpoint
+from brasstray.settings.problem import SettingsProblem
+
+if TYPE_CHECKING:
+    from configparser import ConfigParser
+
+    _S = TypeVar("_S", bound=msgspec.Struct)
+
+
+def read_struct(
+    parser: ConfigParser, name: str, kind: type[_S], problems: list[SettingsProblem]
+) -> _S | None:
+    """Return the section called `name`, or None after adding all its problems."""
+    texts = dict(parser[name]) if parser.has_section(name) else {}
+    values: dict[str, Any] = {}
+    before = len(problems)
+    for field in msgspec.structs.fields(kind):
+        text = texts.pop(field.name, None)
+        if text is None:
+            if field.required:
+                problems.append(SettingsProblem(name, field.name, "a value"))
+            continue
+        try:
+            values[field.name] = _value(field.type, text)
+        except (msgspec.ValidationError, ValueError) as error:
+            problems.append(SettingsProblem(name, field.name, str(error)))
+    known = ", ".join(field.name for field in msgspec.structs.fields(kind))
+    for key in texts:
+        problems.append(SettingsProblem(name, key, f"no such key; known: {known}"))
+    return kind(**values) if len(problems) == before else None
+
+
+def _value(kind: Any, text: str) -> Any:
+    if kind is Endpoint:
+        return parse_endpoint(text)
+    return msgspec.convert(text, kind, strict=False)
+
+
+__all__ = ["read_struct"]
--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -119,7 +119,7 @@
     running = [[f"{JOB}.0.0.1", 2, "", 41, 6800.5]]
     finished = [[58, f"{JOB}.0.0.2", 1, "alone", ""]]
     text = json.dumps({"ClockMs": 5, "Running": running, "Finished": finished})
-    look = HoldReply.model_validate_json(text).look()
+    look = HoldReply.decode(text).look()
     name = BatchId(JOB)
     assert look.clock_ms == 5
     assert look.active == (ActiveRun(TaskName(name, 0, 1), RunNumber(2), 41),)
