Wake an idle host only for what is due, and choose minions on plain numbers

Cause: an idle host woke some 125 times a second: three HTTP servers that look for their end ten times each, the log's timer, looks for a standstill, for a vacancy and for lost pools. Each now waits for an event, or ticks only while there is a job or a pool. And choosing a minion built three objects and divided times for each minion looked at; the clock asked which loop runs at each reading. Ruled out: fewer beats between hosts.

--- a/src/brasstray/clock/loop.py
+++ b/src/brasstray/clock/loop.py
@@ -2,9 +2,15 @@
 
 from __future__ import annotations
 
+import time
 from datetime import UTC, datetime, timedelta
+from typing import TYPE_CHECKING
 
 import anyio
+import sniffio
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
 
 
 class LoopClock:
@@ -12,6 +18,7 @@
 
     def __init__(self, started: datetime | None = None) -> None:
         self._started = started
+        self._time: Callable[[], float] | None = None
 
     def now(self) -> datetime:
         """Return the wall time in UTC, or `started` plus the loop's time."""
@@ -21,11 +28,20 @@
 
     def monotonic(self) -> timedelta:
         """Return the loop's time."""
-        return timedelta(seconds=anyio.current_time())
+        if self._time is None:
+            self._time = _time_of_loop()
+        return timedelta(seconds=self._time())
 
     async def sleep(self, duration: timedelta) -> None:
         """Wait for `duration` of the loop's time."""
         await anyio.sleep(duration.total_seconds())
 
 
+def _time_of_loop() -> Callable[[], float]:
+    # Asking anyio finds out at every call which loop runs, which takes ten times as
+    # long as reading the clock.
+    in_asyncio = sniffio.current_async_library() == "asyncio"
+    return time.monotonic if in_asyncio else anyio.current_time
+
+
 __all__ = ["LoopClock"]
--- a/src/brasstray/coordinator/coordinator.py
+++ b/src/brasstray/coordinator/coordinator.py
@@ -49,6 +49,7 @@
         self._events = events
         self._active: dict[BatchId, ActiveBatch] = {}
         self._lost_since: dict[PoolId, timedelta] = {}
+        self._begun = anyio.Event()
 
     @property
     def active(self) -> int:
@@ -104,6 +105,7 @@
             steps_left={n: step.count for n, step in enumerate(batch.steps)},
         )
         self._active[batch.id] = active
+        self._begun.set()
         return active
 
     async def _send_first(self, active: ActiveBatch) -> None:
@@ -259,10 +261,11 @@
     async def watch(self) -> None:
         """Give up jobs whose tasks are at pools that stay out of reach."""
         while True:
-            await self._clock.sleep(self._timing.tick)
             if not self._active:
                 self._lost_since.clear()
-                continue
+                self._begun = anyio.Event()
+                await self._begun.wait()
+            await self._clock.sleep(self._timing.tick)
             self.give_up_lost(self._clock.monotonic())
 
     def give_up_lost(self, now: timedelta) -> None:
--- a/src/brasstray/host/ownership.py
+++ b/src/brasstray/host/ownership.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+import anyio
 import msgspec
 
 from brasstray.batch.ids import FencingToken
@@ -162,19 +163,16 @@
     async def claim_when_vacant(self) -> None:
         """Claim the pool whenever nobody is in reach who owns it."""
         while True:
-            await self._clock.sleep(self._next_check())
+            if self._token_held or self._is_sure_owned():
+                # An owner that is lost, also by silence, ends this wait.
+                with anyio.move_on_after(self._timing.vacancy_check.total_seconds()):
+                    await self._directory.wait_for_change()
+            else:
+                await self._clock.sleep(self._timing.tick)
             if self._known and not self._draining and self._is_due():
                 await self._claim()
                 self._vacant_since = None
 
-    def _next_check(self) -> timedelta:
-        """Return how long the pool need not be looked at.
-
-        An owner in reach is lost by silence only after twice `calm_tick`.
-        """
-        calm = bool(self._token_held) or not self._is_vacant()
-        return self._timing.calm_tick if calm else self._timing.tick
-
     def _is_due(self) -> bool:
         if self._token_held or not self._is_vacant():
             self._vacant_since = None
@@ -187,6 +185,12 @@
             self._patience = patience * self._recent.patience_factor(now)
         return now - self._vacant_since >= self._patience
 
+    def _is_sure_owned(self) -> bool:
+        owned = self._directory.owned(self._pool)
+        if owned is None or owned.owner.host == self._identity.host:
+            return False
+        return self._directory.reach(self._pool) is OwnerReach.UP
+
     def _is_vacant(self) -> bool:
         owned = self._directory.owned(self._pool)
         if owned is None or owned.owner.host == self._identity.host:
--- a/src/brasstray/host/pool_directory.py
+++ b/src/brasstray/host/pool_directory.py
@@ -6,6 +6,8 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
+import anyio
+
 from brasstray.batch.ids import PoolId
 from brasstray.host.owner_reach import OwnerReach
 from brasstray.host.pool_link import PoolLink
@@ -55,7 +57,9 @@
             up=up,
             keep=self._keeps,
             busy=busy,
+            changed=self._note_change,
         )
+        self._change = anyio.Event()
         self._home = PoolId(str(identity.data_centre))
         self._owned: dict[PoolId, OwnedPool] = {}
         self._links: dict[PoolId, PoolLink] = {}
@@ -98,6 +102,7 @@
     def learn(self, pool: PoolId, owned: OwnedPool | None) -> None:
         """Take note of who owns `pool`; older news than what is known are ignored."""
         known = self._owned.get(pool)
+        self._note_change()
         if owned is None:
             self._owned.pop(pool, None)
             self._drop_link(pool)
@@ -112,6 +117,14 @@
         link = self._links[pool] = self._new_link(pool, owned)
         self._group.start_soon(link.run)
 
+    def _note_change(self) -> None:
+        self._change.set()
+
+    async def wait_for_change(self) -> None:
+        """Wait until a pool has another owner, or an owner is seen otherwise."""
+        await self._change.wait()
+        self._change = anyio.Event()
+
     def _keeps(self, pool: PoolId) -> bool:
         """Tell whether the link to `pool` stays open without tasks there.
 
--- a/src/brasstray/host/pool_link.py
+++ b/src/brasstray/host/pool_link.py
@@ -62,6 +62,7 @@
         up: Callable[[PoolId], None],
         keep: Callable[[PoolId], bool],
         busy: Callable[[PoolId], bool],
+        changed: Callable[[], None],
     ) -> None:
         self._pool = pool
         self._owned = owned
@@ -75,6 +76,7 @@
         self._up = up
         self._keep = keep
         self._busy = busy
+        self._changed = changed
         self._wanted = anyio.Event()
         self._early: list[RunTasks] = []
         self._asked_at = clock.monotonic()
@@ -225,7 +227,7 @@
             was_up = self._state is not None
             self._state = state
             resigns = state.resigning
-            self._reach = OwnerReach.RESIGNING if resigns else OwnerReach.UP
+            self._set_reach(OwnerReach.RESIGNING if resigns else OwnerReach.UP)
             if not was_up:
                 self._events.link_up(self._pool, self._owned.owner.host)
                 self._failed_at = None
@@ -239,9 +241,14 @@
         elif self._reach is not OwnerReach.EXPECTED:
             self._lose("not the owner", OwnerReach.GONE)
 
+    def _set_reach(self, reach: OwnerReach) -> None:
+        if reach is not self._reach:
+            self._reach = reach
+            self._changed()
+
     def _lose(self, reason: str, reach: OwnerReach) -> None:
         if self._reach is not OwnerReach.EXPECTED or reach is OwnerReach.GONE:
-            self._reach = reach
+            self._set_reach(reach)
         if self._state is not None:
             self._state = None
             self._events.link_down(self._pool, self._owned.owner.host, reason)
--- a/src/brasstray/host/timing.py
+++ b/src/brasstray/host/timing.py
@@ -26,8 +26,9 @@
     a fast machine and 0.4 s on one a fifth as fast.
     `takeover_memory` is for how long takeovers count that double the patience.
     `load_push` is how often other owners may be told of a change of room.
-    `tick` is how often what time changes is looked at while a takeover is due, and
-    `calm_tick` otherwise.
+    `tick` is how often what time changes is looked at while a takeover is due, a pool
+    is owned or a job is at work, and `calm_tick` otherwise.
+    `vacancy_check` is how often a host looks for a vacancy that no event has told of.
     `freeze` is how long this process must have stood still to distrust what it knows.
     """
 
@@ -42,8 +43,9 @@
     pool_watch: timedelta = _ms(2_500)
     store_retry: timedelta = _ms(150)
     tick: timedelta = _ms(20)
-    calm_tick: timedelta = _ms(40)
+    calm_tick: timedelta = _ms(100)
     load_push: timedelta = _ms(10)
+    vacancy_check: timedelta = _ms(500)
     freeze: timedelta = _ms(500)
     pool: PoolTiming = field(default_factory=PoolTiming)
     coordinator: CoordinatorTiming = field(default_factory=CoordinatorTiming)
--- a/src/brasstray/http/server.py
+++ b/src/brasstray/http/server.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import socket
 from typing import TYPE_CHECKING, Any
@@ -14,12 +15,32 @@
 BACKLOG = 2_048
 
 
+# uvicorn renews the date that responses carry once in this time.
+_DATE_AGE_SECONDS = 1.0
+
+
 class _QuietServer(uvicorn.Server):
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self._stopped = asyncio.Event()
+
     # The daemon handles signals itself: uvicorn would stop before jobs are answered.
     @contextlib.contextmanager
     def capture_signals(self) -> Generator[None, None, None]:
         yield
 
+    # uvicorn looks ten times a second whether it should exit, which for three servers
+    # was a quarter of an idle host's wake-ups.
+    async def main_loop(self) -> None:
+        while not await self.on_tick(0):
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(_DATE_AGE_SECONDS):
+                    await self._stopped.wait()
+
+    def stop(self) -> None:
+        self.should_exit = True
+        self._stopped.set()
+
 
 class HttpServer:
     """Run uvicorn until stopped."""
@@ -31,6 +52,7 @@
             log_config=None,
             access_log=False,
             loop="asyncio",
+            http="httptools",
             ws="none",
             timeout_keep_alive=75,
             backlog=BACKLOG,
@@ -50,7 +72,7 @@
 
     def stop(self) -> None:
         """End `run` once requests in progress are answered."""
-        self._server.should_exit = True
+        self._server.stop()
 
 
 def listen(address: str, port: int) -> socket.socket:
--- a/src/brasstray/log/bounded_output.py
+++ b/src/brasstray/log/bounded_output.py
@@ -8,6 +8,8 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING, Any
 
+import anyio
+
 if TYPE_CHECKING:
     from brasstray.clock.clock import Clock
 
@@ -32,6 +34,8 @@
         self._dropped = 0
         self._rest = b""
         self._allowed = float(MOST_LINES_A_SECOND)
+        self._renewed_at = timedelta(0)
+        self._wake = anyio.Event()
 
     @property
     def dropped(self) -> int:
@@ -40,6 +44,7 @@
 
     def __call__(self, message: dict[str, Any]) -> None:
         """Take one message."""
+        self._wake.set()
         if len(self._lines) >= MOST_LINES or self._allowed < 1:
             self._dropped += 1
             return
@@ -48,12 +53,20 @@
 
     async def run(self) -> None:
         """Write until cancelled."""
+        self._renewed_at = self._clock.monotonic()
         while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
             await self._clock.sleep(FLUSH_INTERVAL)
-            gained = MOST_LINES_A_SECOND * FLUSH_INTERVAL.total_seconds()
-            self._allowed = min(float(MOST_LINES_A_SECOND), self._allowed + gained)
+            self._renew()
             self.flush()
 
+    def _renew(self) -> None:
+        now = self._clock.monotonic()
+        gained = MOST_LINES_A_SECOND * (now - self._renewed_at).total_seconds()
+        self._allowed = min(float(MOST_LINES_A_SECOND), self._allowed + gained)
+        self._renewed_at = now
+
     def flush(self) -> None:
         """Write what can be written at once."""
         if self._dropped and len(self._lines) < MOST_LINES:
--- a/src/brasstray/pool/durations.py
+++ b/src/brasstray/pool/durations.py
@@ -33,12 +33,20 @@
         self, step: StepTasks, minion: MinionId | None, labels: tuple[str, ...]
     ) -> timedelta:
         """Return how long a task of `step` should take on `minion`."""
+        return max(
+            SMALLEST_EXPECTATION, step.estimate * self.ratio(step, minion, labels)
+        )
+
+    def ratio(
+        self, step: StepTasks, minion: MinionId | None, labels: tuple[str, ...]
+    ) -> float:
+        """Return how many times its estimate a task of `step` takes on `minion`."""
         ratio = self._by_queue.get(step.queue, 1.0)
         if minion is not None:
             ratio *= self._by_minion.get(minion, 1.0)
         if step.rack and labels and step.rack not in labels:
             ratio *= self._remote_factor
-        return max(SMALLEST_EXPECTATION, step.estimate * ratio)
+        return ratio
 
     def learn(
         self, step: StepTasks, minion: MinionId, expected: timedelta, took: timedelta
--- a/src/brasstray/pool/load_sharing.py
+++ b/src/brasstray/pool/load_sharing.py
@@ -151,7 +151,7 @@
         # Before the first task nothing is known of their size: room is told of once
         # somebody has asked for some.
         typical = round((self._typical_cpu or UNKNOWN_CPU) * TYPICAL_MARGIN)
-        return PoolLoad(sum(m.room.cpu_millis // typical for m in usable), 0)
+        return PoolLoad(sum(m.free_cpu_millis // typical for m in usable), 0)
 
     def _held_cpu(self) -> int:
         return sum(
--- a/src/brasstray/pool/minion.py
+++ b/src/brasstray/pool/minion.py
@@ -59,6 +59,11 @@
         """Return what is free."""
         return self.entry.capacity - self._used
 
+    @property
+    def free_cpu_millis(self) -> int:
+        """Return the free processors alone, as most choices need no more."""
+        return self.entry.capacity.cpu_millis - self._used.cpu_millis
+
     @property
     def has_unsized(self) -> bool:
         """Tell whether runs of an earlier owner are here whose size is not known.
@@ -118,10 +123,6 @@
         self._unsized -= not record.size_known
         return True
 
-    def has_cpu(self, cpu_millis: int) -> bool:
-        """Tell whether so many thousandths of a core are free."""
-        return self.entry.capacity.cpu_millis - self._used.cpu_millis >= cpu_millis
-
     def usable(self, now: timedelta) -> bool:
         """Tell whether a new task may start here at `now`."""
         if self.reach is not Reach.HELD or self.entry.draining or self.has_unsized:
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -350,7 +350,11 @@
             return
         now = self._clock.monotonic()
         smallest = min(step.needs.cpu_millis for step in waiting)
-        minions = [m for m in self.minions if m.has_cpu(smallest) and m.usable(now)]
+        minions = [
+            minion
+            for minion in self.minions
+            if minion.free_cpu_millis >= smallest and minion.usable(now)
+        ]
         # Guards against sorting a long queue at every end while nothing can start:
         # under overload that alone would keep the owner from reading the next end.
         if not minions and not self._review_due:
--- a/src/brasstray/pool/placement.py
+++ b/src/brasstray/pool/placement.py
@@ -56,10 +56,10 @@
         if not _may_run(task, minion, now):
             continue
         entry = minion.entry
-        expected = durations.expected(step, entry.id, entry.labels)
-        left = minion.room.cpu_millis - step.needs.cpu_millis
+        left = minion.free_cpu_millis - step.needs.cpu_millis
         unused = left / max(1, entry.capacity.cpu_millis)
-        cost = expected / step.estimate + FIT_WEIGHT * unused
+        ratio = durations.ratio(step, entry.id, entry.labels)
+        cost = ratio + FIT_WEIGHT * unused
         if entry.id in task.avoided:
             cost += 1.0
         if best is None or cost < best_cost:
@@ -69,6 +69,9 @@
 
 def _may_run(task: PoolTask, minion: Minion, now: timedelta) -> bool:
     step, entry = task.of, minion.entry
+    # The cheapest question goes first: most minions of a busy pool have no room.
+    if minion.free_cpu_millis < step.needs.cpu_millis:
+        return False
     if entry.service != step.service or not step.needs.fits(minion.room):
         return False
     if step.label and step.label not in entry.labels:
