Answer every request that a leaving host reads

Cause: a host that had SIGTERM took a request on an open connection 5.2 s later, and its process ended at the end of the grace period with the job still at work, so that the caller had no answer. Ruled out: refusing all requests from SIGTERM on, which throws away jobs that can be done, as callers' connections stay for seconds. Test: tests/host/test_leaving.py, five cases, which failed before.

--- a/src/brasstray/daemon/pool_daemon.py
+++ b/src/brasstray/daemon/pool_daemon.py
@@ -193,11 +193,10 @@
             async for number in signals:
                 log_message("brasstray:signal", signal=number.name)
                 break
-        self._host.drain()
-        started = self._clock.monotonic()
         grace = timedelta(seconds=self._settings.stop.grace_seconds)
+        last = self._clock.monotonic() + grace - EXIT_MARGIN
+        self._host.drain(grace - EXIT_MARGIN)
         await self._clock.sleep(min(ROTATION_TIME, grace / 2))
-        last = started + grace - EXIT_MARGIN
         while self._busy and self._clock.monotonic() < last:
             await self._clock.sleep(timedelta(milliseconds=20))
         self._front.stop()
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -8,7 +8,8 @@
 import anyio
 
 from brasstray.batch.ids import NO_TOKEN, PoolId
-from brasstray.coordinator.coordinator import Coordinator
+from brasstray.batch.outcome import BatchOutcome, BatchResult, GiveUpReason
+from brasstray.coordinator.coordinator import Coordinator, chain_of
 from brasstray.host.current_config import CurrentConfig
 from brasstray.host.ownership import Ownership
 from brasstray.host.pool_directory import PoolDirectory
@@ -29,7 +30,9 @@
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
 
+    from brasstray.batch.batch import Batch
     from brasstray.batch.ids import ConfigVersion
+    from brasstray.batch.queue import Queue
     from brasstray.host.identity import HostIdentity
     from brasstray.host.outside import Events, Outside
     from brasstray.host.owner_record import OwnedPool
@@ -103,6 +106,7 @@
         self._requesters: set[RequesterLink] = set()
         self._group: TaskGroup | None = None
         self._draining = False
+        self._leaves_at: timedelta | None = None
         self._held_minions: tuple[MinionEntry, ...] | None = None
 
     @property
@@ -176,11 +180,12 @@
             group.start_soon(self._watch_freezes)
             group.start_soon(self._push_loads)
 
-    def drain(self) -> None:
+    def drain(self, time_left: timedelta | None = None) -> None:
         """Have another host take the pool; go on with the jobs at work here.
 
-        Guards against a pool without an owner: while the store is out of reach nobody
-        can take it, and this host goes on until somebody has.
+        All jobs are answered by the end of `time_left`, if that is given. Guards also
+        against a pool without an owner: while the store is out of reach nobody can take
+        it, and this host goes on until somebody has.
         """
         if self._draining:
             return
@@ -188,6 +193,32 @@
         self._events.draining()
         self._ownership.drain()
         self._tell_state_to_all()
+        if time_left is not None:
+            self._leaves_at = self._clock.monotonic() + time_left
+            assert self._group is not None
+            self._group.start_soon(self._end_jobs_after, time_left)
+
+    async def _end_jobs_after(self, time_left: timedelta) -> None:
+        await self._clock.sleep(time_left)
+        self._coordinator.end_all()
+
+    async def run_job(
+        self, batch: Batch, queue: Queue, patience: timedelta
+    ) -> BatchResult:
+        """Return the result of `batch`, whose caller waits for `patience`.
+
+        Guards against requests that come on open connections while this host leaves:
+        one that is read and still waits when the process ends has no answer at all.
+        What cannot be done before that is refused at once; nothing of it has run.
+        """
+        if self._leaves_at is not None:
+            left = self._leaves_at - self._clock.monotonic()
+            if chain_of(batch) >= left:
+                self._events.request_refused(
+                    batch.id, GiveUpReason.STOPPING, f"{left // _MILLISECOND} ms left"
+                )
+                return BatchResult(BatchOutcome.NOT_RUN, GiveUpReason.STOPPING)
+        return await self._coordinator.run(batch, queue, patience)
 
     # Owning
 
--- a/src/brasstray/platform/front_app.py
+++ b/src/brasstray/platform/front_app.py
@@ -103,7 +103,7 @@
         results: list[BatchResult] = []
 
         async def run(scope_: anyio.CancelScope) -> None:
-            found = await self._host.coordinator.run(batch, queue, _patience(scope))
+            found = await self._host.run_job(batch, queue, _patience(scope))
             results.append(found)
             scope_.cancel()
 
--- /dev/null
+++ b/tests/host/test_leaving.py
@@ -0,0 +1,92 @@
+"""Check what a host that leaves does with the requests it still reads."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import anyio
+import pytest
+
+from brasstray.batch.outcome import BatchOutcome, GiveUpReason
+from brasstray_standins.leased_minion import Work
+from brasstray_standins.pool_system import (
+    USUAL_NEEDS,
+    PoolSystemSize,
+    usual_batch,
+    usual_queue,
+)
+
+PATIENCE = timedelta(seconds=3)
+GRACE = timedelta(seconds=2)
+
+
+def ms(count):
+    return timedelta(milliseconds=count)
+
+
+@pytest.mark.parametrize(
+    ("left", "takes", "outcome", "reason"),
+    [
+        (1_500, 300, BatchOutcome.SUCCEEDED, None),
+        (200, 300, BatchOutcome.NOT_RUN, GiveUpReason.STOPPING),
+        (0, 60, BatchOutcome.NOT_RUN, GiveUpReason.STOPPING),
+        (-100, 60, BatchOutcome.NOT_RUN, GiveUpReason.STOPPING),
+    ],
+)
+def test_a_request_on_an_open_connection_is_run_in_time_or_refused(
+    play_pools, left, takes, outcome, reason
+):
+    # A host was told to leave. A client keeps its connection and sends another request,
+    # shortly before the host has to be gone. It must have an answer: the connection's
+    # end without one would be a lost request. One that cannot be done in time has not
+    # run, and its caller is told at once, while it can still go elsewhere.
+    async def story(system):
+        system.book.usual = Work(USUAL_NEEDS, ms(takes))
+        host = system.hosts[system.other()].host
+        host.drain(GRACE)
+        await system.clock.sleep(GRACE - ms(left))
+        began = system.clock.monotonic()
+        batch = usual_batch("a" * 16, 2, ms(takes))
+        result = await host.run_job(batch, usual_queue(), PATIENCE)
+        return result, system.clock.monotonic() - began
+
+    (result, took), system = play_pools(story)
+    assert (result.outcome, result.reason) == (outcome, reason)
+    assert took <= max(ms(0), ms(left))
+    if outcome is BatchOutcome.NOT_RUN:
+        assert took == ms(0)
+        assert system.book.starts == []
+
+
+def test_jobs_at_work_are_answered_before_a_host_has_to_be_gone(play_pools):
+    # A host that leaves has a job that takes longer than expected, and one that waits
+    # behind it. Both callers have an answer by the time that the host may still use,
+    # and the one whose job was never started may send it again.
+    size = PoolSystemSize(data_centres=1, hosts_each=2, minions_each=1)
+
+    async def story(system):
+        system.book.usual = Work(USUAL_NEEDS, ms(10_000))
+        host = system.hosts[system.other()].host
+        found = {}
+
+        async def submit(name):
+            batch = usual_batch(name * 16, 2, ms(500))
+            found[name] = await host.run_job(batch, usual_queue(), 2 * PATIENCE)
+            found[name + " at"] = system.clock.monotonic()
+
+        began = system.clock.monotonic()
+        async with anyio.create_task_group() as group:
+            group.start_soon(submit, "a")
+            await system.clock.sleep(ms(50))
+            group.start_soon(submit, "b")
+            await system.clock.sleep(ms(50))
+            host.drain(GRACE)
+        return {
+            key: value - began if key.endswith("at") else value.outcome
+            for key, value in found.items()
+        }
+
+    found, _ = play_pools(story, size)
+    assert found["a"] is BatchOutcome.UNKNOWN
+    assert found["b"] is BatchOutcome.NOT_RUN
+    assert max(found["a at"], found["b at"]) <= GRACE + ms(150)
