Let the strongest hosts own pools, and name who follows them

Cause: whoever claimed first owned a pool, with five of six hosts a quarter as strong as the others; and all hosts of a data centre claimed a dead owner's pool within 80 ms of each other. Ruled out: waiting by absolute strength, which delays every takeover where hosts are alike. Requests that wait for a link go on to the next owner, for 300 ms, instead of being given back at once. Tests: tests/host/test_succession.py (virtual clock: one claim where an owner or the two strongest hosts die, no job lost by a move under load).

--- a/src/brasstray/daemon/pool_daemon.py
+++ b/src/brasstray/daemon/pool_daemon.py
@@ -82,6 +82,7 @@
             new_incarnation(centre, name, random),
             section.peers.address,
             section.peers.port,
+            settings.processor.power,
         )
         self._store = PlatformStore(
             settings.store.address.address, settings.store.address.port
--- a/src/brasstray/host/event_log.py
+++ b/src/brasstray/host/event_log.py
@@ -14,6 +14,7 @@
     from brasstray.batch.ids import ConfigVersion, FencingToken, PoolId
     from brasstray.batch.outcome import BatchResult, GiveUpReason
     from brasstray.coordinator.active_batch import ActiveBatch
+    from brasstray.job.ids import HostName
     from brasstray.metrics.pool_metrics import PoolMetrics
     from brasstray.pool.errors import StartRefusal
     from brasstray.pool.minion import Minion
@@ -185,6 +186,11 @@
         self._metrics.count_reason("pool_taken")
         log_message("brasstray:pool_taken", pool=pool, token=token, reason=why)
 
+    def pool_moving(self, pool: PoolId, to: HostName) -> None:
+        """This host asks a stronger one to take the pool."""
+        self._metrics.count_reason("pool_moving")
+        log_message("brasstray:pool_moving", pool=pool, to=to)
+
     def pool_left(self, pool: PoolId, token: FencingToken, why: str) -> None:
         """This host owns a pool no more."""
         log_message("brasstray:pool_left", pool=pool, token=token, reason=why)
--- a/src/brasstray/host/host_events.py
+++ b/src/brasstray/host/host_events.py
@@ -7,6 +7,7 @@
 if TYPE_CHECKING:
     from brasstray.batch.ids import ConfigVersion, FencingToken, PoolId
     from brasstray.batch.outcome import GiveUpReason
+    from brasstray.job.ids import HostName
 
 
 class HostEvents(Protocol):
@@ -33,6 +34,9 @@
     def pool_taken(self, pool: PoolId, token: FencingToken, why: str) -> None:
         """This host owns a pool."""
 
+    def pool_moving(self, pool: PoolId, to: HostName) -> None:
+        """This host asks a stronger one to take the pool."""
+
     def pool_left(self, pool: PoolId, token: FencingToken, why: str) -> None:
         """This host owns a pool no more."""
 
--- a/src/brasstray/host/identity.py
+++ b/src/brasstray/host/identity.py
@@ -11,13 +11,17 @@
 
 @dataclass(frozen=True)
 class HostIdentity:
-    """Hold the names and the peer address of one incarnation of a host."""
+    """Hold the names and the peer address of one incarnation of a host.
+
+    `power` is the share of a core that it has, times the core's speed.
+    """
 
     host: HostName
     data_centre: DataCentreName
     incarnation: IncarnationId
     address: str
     peer_port: int
+    power: float = 1.0
 
 
 __all__ = ["HostIdentity"]
--- a/src/brasstray/host/ownership.py
+++ b/src/brasstray/host/ownership.py
@@ -35,6 +35,7 @@
     from brasstray.host.host_events import HostEvents
     from brasstray.host.identity import HostIdentity
     from brasstray.host.pool_directory import PoolDirectory
+    from brasstray.host.succession import Succession
     from brasstray.host.timing import HostTiming
     from brasstray.store.entry import StoreEntry
     from brasstray.store.watchable_store import WatchableStore
@@ -59,6 +60,7 @@
         events: HostEvents,
         take: Callable[[OwnedPool], None],
         leave: Callable[[str], None],
+        succession: Succession,
     ) -> None:
         self._pool = pool
         self._identity = identity
@@ -70,6 +72,7 @@
         self._events = events
         self._take = take
         self._leave = leave
+        self._succession = succession
         self._token_held = 0
         self._token_left = 0
         self._known = False
@@ -180,11 +183,17 @@
         now = self._clock.monotonic()
         if self._vacant_since is None:
             self._vacant_since = now
-            jitter = self._random.random() * self._timing.claim_jitter
-            patience = self._timing.vacancy_patience + jitter
+            patience = self._timing.vacancy_patience + self._turn()
             self._patience = patience * self._recent.patience_factor(now)
         return now - self._vacant_since >= self._patience
 
+    def _turn(self) -> timedelta:
+        """Return how long this host leaves the pool to those that come before it."""
+        head_start = self._succession.head_start
+        if self._succession.named:
+            return head_start
+        return head_start + self._random.random() * self._timing.claim_jitter
+
     def _is_sure_owned(self) -> bool:
         owned = self._directory.owned(self._pool)
         if owned is None or owned.owner.host == self._identity.host:
--- a/src/brasstray/host/pool_directory.py
+++ b/src/brasstray/host/pool_directory.py
@@ -24,6 +24,7 @@
     from brasstray.host.identity import HostIdentity
     from brasstray.host.owner_record import OwnedPool
     from brasstray.host.timing import HostTiming
+    from brasstray.peer.message.run_tasks import RunTasks
     from brasstray.peer.message_stream import StreamOpener
     from brasstray.peer.pool_messages import PoolMessage
 
@@ -110,11 +111,13 @@
         if known is not None and owned.token <= known.token:
             return
         self._owned[pool] = owned
-        self._drop_link(pool)
+        unsent = self._drop_link(pool)
         if owned.owner.incarnation == self._identity.incarnation:
             return
         assert self._group is not None
         link = self._links[pool] = self._new_link(pool, owned)
+        for request in unsent:
+            link.tell(request)
         self._group.start_soon(link.run)
 
     def _note_change(self) -> None:
@@ -133,10 +136,13 @@
         """
         return pool == self._home or self._local_pool is not None
 
-    def _drop_link(self, pool: PoolId) -> None:
+    def _drop_link(self, pool: PoolId) -> list[RunTasks]:
+        """End the link to `pool`; return the requests that have not left this host."""
         link = self._links.pop(pool, None)
-        if link is not None:
-            link.stop()
+        if link is None:
+            return []
+        link.stop()
+        return link.take_early()
 
     def own(
         self,
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -14,6 +14,13 @@
 from brasstray.host.ownership import Ownership
 from brasstray.host.pool_directory import PoolDirectory
 from brasstray.host.requester_link import RequesterLink
+from brasstray.host.succession import (
+    SHORTEST_TENURE,
+    Succession,
+    better_moved,
+    successors,
+)
+from brasstray.job.ids import HostName
 from brasstray.peer.message.config_text import ConfigText
 from brasstray.peer.message.hello import Hello
 from brasstray.peer.message.ping import Ping
@@ -21,6 +28,7 @@
 from brasstray.peer.message.pool_state import PoolState
 from brasstray.peer.message.run_tasks import RunTasks
 from brasstray.peer.message.stop_tasks import StopTasks
+from brasstray.peer.message.successors import Successors
 from brasstray.peer.message.tasks_ended import TasksEnded
 from brasstray.peer.message.tasks_returned import TasksReturned
 from brasstray.pool.owner import PoolOwner
@@ -88,6 +96,7 @@
         self._coordinator = Coordinator(
             self._pool, self._directory, clock, timing.coordinator, events
         )
+        self._succession = Succession(identity.host)
         self._ownership = Ownership(
             self._pool,
             identity,
@@ -99,6 +108,7 @@
             events,
             self._take_pool,
             self._leave_pool,
+            self._succession,
         )
         self._owner: PoolOwner | None = None
         self._owner_scope: anyio.CancelScope | None = None
@@ -106,6 +116,8 @@
         self._requesters: set[RequesterLink] = set()
         self._group: TaskGroup | None = None
         self._draining = False
+        self._moving = False
+        self._owner_since = timedelta(0)
         self._leaves_at: timedelta | None = None
         self._held_minions: tuple[MinionEntry, ...] | None = None
 
@@ -179,6 +191,7 @@
             group.start_soon(self._coordinator.watch)
             group.start_soon(self._watch_freezes)
             group.start_soon(self._push_loads)
+            group.start_soon(self._move_pool_when_better)
 
     def drain(self, time_left: timedelta | None = None) -> None:
         """Have another host take the pool; go on with the jobs at work here.
@@ -239,6 +252,8 @@
             self._held_minions,
         )
         self._events.pool_taken(self._pool, owned.token, "claimed")
+        self._owner_since = self._clock.monotonic()
+        self._moving = False
         self._owner_scope = anyio.CancelScope()
         self._group.start_soon(self._run_owner, owner, self._owner_scope)
         self._directory.own(self._pool, self._take_local, self._load)
@@ -280,7 +295,38 @@
         if same_centre and self._owner is not None and self._held_minions is not None:
             link.tell(PoolMinions(minions=self._held_minions))
 
+    def _own_centre_powers(self) -> dict[HostName, float]:
+        """Return how strong the hosts are that could take the pool over."""
+        centre = self._identity.data_centre
+        return {
+            HostName(link.name): link.power
+            for link in self._requesters
+            if link.data_centre == centre
+        }
+
+    def _tell_successors(self) -> None:
+        if self._owner is None:
+            return
+        message = Successors(hosts=successors(self._own_centre_powers()))
+        for link in self._requesters:
+            if link.data_centre == self._identity.data_centre:
+                link.tell(message)
+
+    async def _move_pool_when_better(self) -> None:
+        """Ask the strongest host to take the pool from one that is much weaker."""
+        while True:
+            await self._clock.sleep(SHORTEST_TENURE)
+            if self._owner is None or self._draining or self._moving:
+                continue
+            held = self._clock.monotonic() - self._owner_since
+            powers = self._own_centre_powers()
+            if better_moved(self._identity.power, powers.values(), held):
+                self._moving = True
+                self._events.pool_moving(self._pool, successors(powers)[0])
+                self._tell_state_to_all()
+
     def _leave_pool(self, why: str) -> None:
+        self._moving = False
         owner, self._owner = self._owner, None
         if owner is None or self._owner_scope is None:
             return
@@ -328,7 +374,7 @@
             places=load.places,
             wait_ms=load.wait_ms,
             ready=owner is not None and owner.settled,
-            resigning=self._draining,
+            resigning=self._draining or self._moving,
             config_version=self._config.version,
         )
 
@@ -344,6 +390,7 @@
             reason = await link.run()
         finally:
             self._requesters.discard(link)
+            self._tell_successors()
         if reason != "silent":
             # The host may come back on another connection and ask again; its runs go
             # on for as long as if it had only been silent.
@@ -358,6 +405,7 @@
                 link.introduce(message)
                 self._tell_minions_to(link)
                 self._events.requester_up(link.name)
+                self._tell_successors()
                 self._compare_config(link, message.config_version)
             case Ping():
                 self._compare_config(link, message.config_version)
@@ -400,6 +448,8 @@
                     current = self._config.current
                     assert current is not None
                     self._directory.tell(pool, ConfigText(text=current.text))
+            case Successors() if pool == self._pool:
+                self._succession.name(message.hosts)
             case PoolMinions() if pool == self._pool:
                 self._held_minions = message.minions
             case ConfigText():
--- a/src/brasstray/host/pool_link.py
+++ b/src/brasstray/host/pool_link.py
@@ -32,6 +32,8 @@
 # A burst that sends tasks away comes back within a few seconds; opening a link anew
 # takes some 2 ms of processor time at both ends.
 IDLE_TIME = timedelta(seconds=3)
+# How long a request waits for a link that cannot be opened, about a takeover.
+EARLY_PATIENCE = timedelta(milliseconds=300)
 # After it could not be reached, an owner is not asked for this long while others are.
 AVOIDED_TIME = timedelta(seconds=1)
 
@@ -160,9 +162,10 @@
                 host=self._identity.host,
                 incarnation=self._identity.incarnation,
                 config_version=self._version(),
+                power=self._identity.power,
             )
         )
-        early, self._early = self._early, []
+        early = self.take_early()
         for request in early:
             pipe.tell(request)
         self._asked = bool(early)
@@ -178,15 +181,22 @@
             else:
                 self._lose(reason, OwnerReach.LOST)
 
+    def take_early(self) -> list[RunTasks]:
+        """Return the requests that wait for the link, and forget them."""
+        early, self._early = self._early, []
+        return early
+
     def _give_back_early(self) -> None:
         """Give requests back that never left this host, as their pool is not reached.
 
         Guards against a job that waits for a link that cannot be opened, as to a data
-        centre beyond a cut: it is known at once that nothing of it was sent.
+        centre beyond a cut: it is known that nothing of it was sent. Before that, the
+        owner may be one that has just died, and a successor about to take over.
         """
         self._failed_at = self._clock.monotonic()
-        early, self._early = self._early, []
-        for request in early:
+        if self._early and self._failed_at - self._asked_at < EARLY_PATIENCE:
+            return
+        for request in self.take_early():
             returned = TasksReturned(
                 batch=request.batch,
                 step=request.step,
--- a/src/brasstray/host/requester_link.py
+++ b/src/brasstray/host/requester_link.py
@@ -39,6 +39,7 @@
         self._pipe = Pipe(stream, timing.pool.requester_silence, self._take_message)
         self._name = "unknown"
         self._data_centre: DataCentreName | None = None
+        self._power = 0.0
 
     @property
     def name(self) -> str:
@@ -50,9 +51,15 @@
         """Return the host's data centre, once it has said who it is."""
         return self._data_centre
 
+    @property
+    def power(self) -> float:
+        """Return how strong the host is; 0 until it has said who it is."""
+        return self._power
+
     def introduce(self, hello: Hello) -> None:
         """Take note of who is at the other end."""
         self._name = str(hello.host)
+        self._power = hello.power
         self._data_centre = data_centre_of(hello.incarnation)
 
     def tell(self, message: PoolMessage) -> None:
--- a/src/brasstray/peer/message/hello.py
+++ b/src/brasstray/peer/message/hello.py
@@ -8,11 +8,15 @@
 
 
 class Hello(HostMessage, frozen=True, kw_only=True, tag="hello"):
-    """Say who opens a link, and which configuration it has."""
+    """Say who opens a link, and which configuration it has.
+
+    `power` is the share of a core that the host has, times the core's speed.
+    """
 
     host: HostName
     incarnation: IncarnationId
     config_version: ConfigVersion
+    power: float = 1.0
 
 
 __all__ = ["Hello"]
--- a/src/brasstray/peer/pool_messages.py
+++ b/src/brasstray/peer/pool_messages.py
@@ -13,6 +13,7 @@
 from brasstray.peer.message.pool_state import PoolState
 from brasstray.peer.message.run_tasks import RunTasks
 from brasstray.peer.message.stop_tasks import StopTasks
+from brasstray.peer.message.successors import Successors
 from brasstray.peer.message.tasks_ended import TasksEnded
 from brasstray.peer.message.tasks_returned import TasksReturned
 
@@ -24,6 +25,7 @@
     | PoolMinions
     | RunTasks
     | StopTasks
+    | Successors
     | TasksEnded
     | TasksReturned
 )
--- a/src/brasstray/settings/pool_settings.py
+++ b/src/brasstray/settings/pool_settings.py
@@ -49,6 +49,21 @@
     remote_factor: Annotated[float, msgspec.Meta(ge=1.0, le=100.0)] = 1.0
 
 
+class ProcessorSection(msgspec.Struct, frozen=True, kw_only=True):
+    """Say what processor the host has: its share of a core, and the core's speed.
+
+    Only the ratio to other hosts counts: the strongest own the pools.
+    """
+
+    share: Annotated[float, msgspec.Meta(gt=0.0, le=1_024.0)] = 1.0
+    speed: Annotated[float, msgspec.Meta(gt=0.0, le=1_024.0)] = 1.0
+
+    @property
+    def power(self) -> float:
+        """Return how much work the host does in a time."""
+        return self.share * self.speed
+
+
 class StopSection(msgspec.Struct, frozen=True, kw_only=True):
     """Say how long a host may take to leave, in seconds, once it is told to."""
 
@@ -61,6 +76,7 @@
 
     host: HostSection
     store: StoreSection
+    processor: ProcessorSection
     minions: MinionsSection
     stop: StopSection
 
@@ -68,6 +84,7 @@
 POOL_SECTIONS: dict[str, type[msgspec.Struct]] = {
     "host": HostSection,
     "store": StoreSection,
+    "processor": ProcessorSection,
     "minions": MinionsSection,
     "stop": StopSection,
 }
--- a/src/brasstray_standins/pool_system.py
+++ b/src/brasstray_standins/pool_system.py
@@ -41,17 +41,22 @@
 SERVICE = ServiceName("verlofdienst")
 CONFIG_KEY = "config"
 TICK = timedelta(milliseconds=1)
+STRONG_POWER = 4.0
 USUAL_NEEDS = Resources(6_800, 64)
 USUAL_DURATION = timedelta(milliseconds=60)
 
 
 @dataclass(frozen=True)
 class PoolSystemSize:
-    """Say how much there is of everything."""
+    """Say how much there is of everything.
+
+    The first `strong_each` hosts of each data centre are four times as strong.
+    """
 
     data_centres: int = 2
     hosts_each: int = 3
     minions_each: int = 4
+    strong_each: int = 0
     capacity: Resources = Resources(16_000, 32_768)
 
 
@@ -207,6 +212,7 @@
             new_incarnation(DataCentreName(centre), HostName(name), self.random),
             name,
             1,
+            self._power(name),
         )
         outside = Outside(
             clock,
@@ -227,6 +233,10 @@
         self.group.start_soon(self._run, host, scope)
         return running
 
+    def _power(self, name: str) -> float:
+        number = int(name.rpartition("-h")[2])
+        return STRONG_POWER if number < self.size.strong_each else 1.0
+
     async def _run(self, host: PoolHost, scope: anyio.CancelScope) -> None:
         with scope:
             await host.run()
--- /dev/null
+++ b/tests/host/test_succession.py
@@ -0,0 +1,151 @@
+"""Check which host owns a pool where hosts differ in strength, and who follows it."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import anyio
+import pytest
+from tests.host.load import Load, under_load
+
+from brasstray.batch.outcome import BatchOutcome
+from brasstray.host.succession import (
+    RANK_STEP,
+    SHORTEST_TENURE,
+    Succession,
+    better_moved,
+    successors,
+)
+from brasstray_standins.pool_system import PoolSystemSize
+
+SECOND = timedelta(seconds=1)
+FLEET = PoolSystemSize(data_centres=1, hosts_each=12, minions_each=4, strong_each=3)
+
+
+@pytest.mark.parametrize(
+    ("named", "here", "head_start"),
+    [
+        ((), "a", 0),
+        (("a", "b", "c"), "a", 0),
+        (("a", "b", "c"), "c", 2),
+        (("a", "b", "c"), "d", 3),
+    ],
+)
+def test_hosts_claim_in_the_order_that_the_owner_named(named, here, head_start):
+    succession = Succession(here)
+    succession.name(named)
+    assert succession.head_start == head_start * RANK_STEP
+
+
+@pytest.mark.parametrize(
+    ("powers", "first"),
+    [
+        ({"a": 0.5, "b": 2.0, "c": 2.0, "d": 0.5}, ("b", "c", "a")),
+        ({"a": 1.0}, ("a",)),
+        ({}, ()),
+    ],
+)
+def test_the_strongest_come_first(powers, first):
+    assert successors(powers) == first
+
+
+@pytest.mark.parametrize(
+    ("own", "others", "held", "moved"),
+    [
+        (0.5, [2.0], SHORTEST_TENURE, True),
+        (0.5, [2.0], SHORTEST_TENURE / 2, False),
+        (2.0, [2.0, 2.1], SECOND * 60, False),
+        (2.0, [0.5], SECOND * 60, False),
+        (0.5, [], SECOND * 60, False),
+    ],
+)
+def test_a_pool_moves_to_a_much_stronger_host_only(own, others, held, moved):
+    assert better_moved(own, others, held) is moved
+
+
+def is_strong(name):
+    return int(name.rpartition("-h")[2]) < FLEET.strong_each
+
+
+def takeovers(system):
+    return system.store.entries("brasstray/pools/")[0].version
+
+
+def test_strong_hosts_own_the_pool_and_it_stays_there(play_pools):
+    # All hosts start within a moment, and whoever comes first owns the pool. A weak
+    # host would read ends late all day, so it passes the pool on, once.
+    async def story(system):
+        await system.clock.sleep(3 * SHORTEST_TENURE)
+        first, moves = system.owner(), takeovers(system)
+        await system.clock.sleep(10 * SHORTEST_TENURE)
+        return first, system.owner(), takeovers(system) - moves
+
+    (first, later, moves), _ = play_pools(story, FLEET)
+    assert is_strong(first)
+    assert later == first
+    assert moves == 0
+
+
+@pytest.mark.parametrize("killed", [1, 2])
+def test_strong_hosts_die_and_one_claim_takes_the_pool(play_pools, killed):
+    # The owner dies, alone or with its first successor, while eleven hosts look on. If
+    # all of them claimed, all but one of the writes would be wasted, and the pool might
+    # end up at a weak host.
+    async def story(system):
+        await system.clock.sleep(3 * SHORTEST_TENURE)
+        before = takeovers(system)
+        for _ in range(killed):
+            strong = sorted(name for name in system.hosts if is_strong(name))
+            owner = system.owner()
+            system.kill(owner)
+            if killed > 1:
+                system.kill(next(name for name in strong if name != owner))
+                break
+        await system.clock.sleep(SECOND)
+        return system.owner(), takeovers(system) - before
+
+    (owner, claims), _ = play_pools(story, FLEET)
+    assert is_strong(owner)
+    assert claims == 1
+
+
+def test_a_pool_moves_under_load_and_no_job_is_lost(play_pools):
+    # All strong hosts are gone and a weak one owns the pool. They come back, and the
+    # pool moves to one of them while callers wait: every job is done.
+    async def story(system):
+        for number in range(3):
+            system.kill(f"dc0-h{number}")
+        await system.clock.sleep(SECOND)
+        weak = system.owner()
+        async with anyio.create_task_group() as group:
+            load = Load(system, group)
+            group.start_soon(load.run, 250)
+            await system.clock.sleep(SECOND)
+            for number in range(3):
+                system.start(f"dc0-h{number}", "dc0")
+            await system.clock.sleep(3 * SHORTEST_TENURE)
+            strong = system.owner()
+        return load, weak, strong
+
+    (load, weak, strong), system = play_pools(story, FLEET)
+    assert not is_strong(weak)
+    assert is_strong(strong)
+    assert load.outcomes() == [BatchOutcome.SUCCEEDED] * 250
+    assert system.book.broken == []
+
+
+def test_the_strongest_host_of_each_data_centre_dies_under_load(play_pools):
+    # The owners of all pools die at once, as by a fault that strong hosts share. Their
+    # successors are known, so that callers of other hosts lose nothing but time.
+    size = PoolSystemSize(data_centres=3, hosts_each=4, minions_each=4, strong_each=2)
+
+    async def story(system):
+        async def strike():
+            for centre in range(3):
+                system.kill(system.owner(centre))
+
+        return await under_load(system, strike, jobs=150)
+
+    load, system = play_pools(story, size)
+    assert system.book.broken == []
+    assert set(load.outcomes()) == {BatchOutcome.SUCCEEDED}
