Take entries of other writers for no minion, and feed anything to the decoders

Cause: an entry whose state was not known counted as ready, one without a state or a capacity as well, and one of an unknown service was called. Ruled out: refusing the whole list, which would lose all other minions. An entry must have each field, of its own type, a known state and an address by IP; its service must be one that the configuration names; else it names no minion, with one line in the log when that changes. The decoders of the platform's formats and of messages between hosts raise nothing but their own errors on 200 arbitrary texts each (tests/platform/test_decoders.py; the table of foreign entries failed before).

--- a/src/brasstray/batch/configuration.py
+++ b/src/brasstray/batch/configuration.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from brasstray.batch.ids import ConfigVersion
     from brasstray.batch.queue import Queue
+    from brasstray.job.ids import ServiceName
 
 
 @dataclass(frozen=True)
@@ -19,12 +20,21 @@
 
 @dataclass(frozen=True)
 class Configuration:
-    """Hold the queues of one version, and the text it was read from."""
+    """Hold the queues of one version, and the text it was read from.
+
+    `services` are those that minions may be of, also without a queue.
+    """
 
     version: ConfigVersion
     queues: tuple[Queue, ...]
     limits: BodyLimits = field(default_factory=BodyLimits)
     text: bytes = b""
+    services: frozenset[ServiceName] = frozenset()
+
+    def knows(self, service: ServiceName) -> bool:
+        """Tell whether `service` is one of this version."""
+        named = service in self.services
+        return named or any(queue.service == service for queue in self.queues)
 
     def queue_for(self, host: str, path: str) -> Queue | None:
         """Return the queue with the longest prefix of `path` at `host`, if any."""
--- a/src/brasstray/daemon/pool_daemon.py
+++ b/src/brasstray/daemon/pool_daemon.py
@@ -87,16 +87,17 @@
         self._store = PlatformStore(
             settings.store.address.address, settings.store.address.port
         )
+        events = EventLog(metrics)
         outside = Outside(
             self._clock,
             random,
             uptime,
             self._store,
             OperatorConfig(self._store),
-            MinionListing(self._store),
+            MinionListing(self._store, events.entry_ignored),
             PlatformMinions(),
             WebSocketOpener(),
-            EventLog(metrics),
+            events,
         )
         self._host = PoolHost(
             identity,
--- a/src/brasstray/host/event_log.py
+++ b/src/brasstray/host/event_log.py
@@ -23,6 +23,8 @@
     from brasstray.pool.step_tasks import StepTasks
 
 _MILLISECOND = timedelta(milliseconds=1)
+# Entries remembered as told of; a fleet has a few hundred minions in all.
+MOST_IGNORED = 1_000
 
 
 class EventLog:
@@ -31,6 +33,7 @@
     def __init__(self, metrics: PoolMetrics) -> None:
         self._metrics = metrics
         self._lost: set[str] = set()
+        self._ignored: dict[str, str] = {}
 
     # Jobs
 
@@ -164,6 +167,16 @@
             "brasstray:refused", job=job, reason=reason.value, detail=detail[:200]
         )
 
+    def entry_ignored(self, name: str, why: str) -> None:
+        """An entry of the store names no minion to use; told when that changes."""
+        if self._ignored.get(name) == why:
+            return
+        if len(self._ignored) >= MOST_IGNORED:
+            self._ignored.clear()
+        self._ignored[name] = why
+        self._metrics.count_reason("entry_ignored")
+        log_message("brasstray:entry_ignored", name=name, reason=why[:200])
+
     def history_lost(self, what: str) -> None:
         """The store has dropped its history; everything is read again."""
         log_message("brasstray:history_lost", what=what)
--- a/src/brasstray/host/host_events.py
+++ b/src/brasstray/host/host_events.py
@@ -22,6 +22,9 @@
     def request_refused(self, job: str, reason: GiveUpReason, detail: str) -> None:
         """A request was refused before anything was done for it."""
 
+    def entry_ignored(self, name: str, why: str) -> None:
+        """An entry of the store names no minion to use."""
+
     def history_lost(self, what: str) -> None:
         """The store has dropped its history; everything is read again."""
 
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -274,13 +274,27 @@
         while True:
             try:
                 centre = self._identity.data_centre
-                owner.list_minions(await self._outside.minion_list.minions(centre))
+                listed = await self._outside.minion_list.minions(centre)
+                owner.list_minions(self._of_known_services(listed))
                 self._tell_minions(owner)
                 self._events.store_back("minions")
             except StoreUnavailableError as error:
                 self._events.store_lost("minions", str(error))
             await self._clock.sleep(self._timing.pool.list_interval)
 
+    def _of_known_services(self, listed: list[MinionEntry]) -> list[MinionEntry]:
+        """Leave out minions of services that the configuration does not name."""
+        config = self._config.current
+        if config is None:
+            return listed
+        known = []
+        for entry in listed:
+            if config.knows(entry.service):
+                known.append(entry)
+            else:
+                self._events.entry_ignored(entry.id, f"service {entry.service!r}")
+        return known
+
     def _tell_minions(self, owner: PoolOwner) -> None:
         """Tell the hosts that may take the pool over which minions it has."""
         held = tuple(minion.entry for minion in owner.minions)
--- a/src/brasstray/peer/websocket_stream.py
+++ b/src/brasstray/peer/websocket_stream.py
@@ -69,7 +69,13 @@
             )
         except ConnectionRefusedError as error:
             raise NobodyListensError(repr(error)) from error
-        except (OSError, TimeoutError, InvalidHandshake, EOFError) as error:
+        except (
+            OSError,
+            InvalidHandshake,
+            EOFError,
+            ValueError,
+            OverflowError,
+        ) as error:
             raise StreamClosedError(repr(error)) from error
         return WebSocketStream(connection)
 
--- a/src/brasstray/platform/body.py
+++ b/src/brasstray/platform/body.py
@@ -31,16 +31,25 @@
     @classmethod
     def decode(cls, text: bytes) -> Self:
         """Return the body in `text`; raise UnreadableBodyError if it has none."""
+        return cls._decode(text, strict=False)
+
+    @classmethod
+    def decode_strictly(cls, text: bytes) -> Self:
+        """Return the body in `text`, whose fields must be of their own types."""
+        return cls._decode(text, strict=True)
+
+    @classmethod
+    def _decode(cls, text: bytes, *, strict: bool) -> Self:
         try:
-            found: Self = _decoder(cls).decode(text)
+            found: Self = _decoder(cls, strict).decode(text)
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
             raise UnreadableBodyError(str(error)) from error
         return found
 
 
 @cache
-def _decoder(kind: type) -> msgspec.json.Decoder[Any]:
-    return msgspec.json.Decoder(kind, strict=False)
+def _decoder(kind: type, strict: bool) -> msgspec.json.Decoder[Any]:
+    return msgspec.json.Decoder(kind, strict=strict)
 
 
 __all__ = ["Body", "UnreadableBodyError"]
--- a/src/brasstray/platform/configuration_body.py
+++ b/src/brasstray/platform/configuration_body.py
@@ -40,6 +40,12 @@
         )
 
 
+class ServiceBody(Body, frozen=True, kw_only=True):
+    """Describe a service that minions may be of."""
+
+    name: str
+
+
 class Limits(Body, frozen=True, kw_only=True):
     """Bound what callers send."""
 
@@ -51,6 +57,7 @@
 
     version: int
     routes: list[Route] = msgspec.field(default_factory=list)
+    services: list[ServiceBody] = msgspec.field(default_factory=list)
     limits: Limits = msgspec.field(default_factory=Limits)
 
 
@@ -65,6 +72,7 @@
         tuple(route.queue() for route in body.routes),
         BodyLimits(body.limits.max_body_bytes),
         text,
+        frozenset(ServiceName(service.name) for service in body.services),
     )
 
 
--- a/src/brasstray/platform/minion_listing.py
+++ b/src/brasstray/platform/minion_listing.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+import re
+from typing import TYPE_CHECKING, Annotated
 
 import msgspec
 
@@ -10,21 +11,27 @@
 from brasstray.job.ids import DataCentreName, MinionId, ServiceName
 from brasstray.platform.body import Body, UnreadableBodyError
 from brasstray.pool.minion_entry import MinionEntry
+from brasstray.settings.endpoint import parse_endpoint
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from brasstray.platform.platform_store import PlatformStore
     from brasstray.store.entry import StoreEntry
 
 SERVERS_PREFIX = "servers/"
-_DRAINING = "draining"
+_DRAINING = {"ready": False, "draining": True}
+_Amount = Annotated[int, msgspec.Meta(ge=0)]
+# An id is sent as a header to the minion, so nothing may be in it that ends one.
+_ID = re.compile(r"[!-~]{1,200}")
 
 
 class CapacityBody(Body, frozen=True, kw_only=True):
     """Hold a minion's resources; `cpu` counts thousandths of a core."""
 
-    cpu: int = 0
-    mem_mb: int = 0
-    gpu: int = 0
+    cpu: _Amount
+    mem_mb: _Amount
+    gpu: _Amount = 0
 
 
 class ServerBody(Body, frozen=True, kw_only=True):
@@ -33,41 +40,59 @@
     service: str
     address: str
     zone: str
-    state: str = "ready"
-    capacity: CapacityBody = msgspec.field(default_factory=CapacityBody)
-    labels: list[str] = msgspec.field(default_factory=list)
+    state: str
+    capacity: CapacityBody
+    labels: tuple[str, ...] = ()
 
 
 class MinionListing:
     """Read the entries that minions write under their ids."""
 
-    def __init__(self, store: PlatformStore) -> None:
+    def __init__(
+        self, store: PlatformStore, ignored: Callable[[str, str], None]
+    ) -> None:
         self._store = store
+        self._ignored = ignored
 
     async def minions(self, data_centre: DataCentreName) -> list[MinionEntry]:
-        """Return the minions listed in `data_centre`, of all services."""
-        found = await self._store.snapshot(SERVERS_PREFIX)
-        entries = [_minion(entry) for entry in found.entries]
-        return [e for e in entries if e is not None and e.data_centre == data_centre]
+        """Return the minions listed in `data_centre`, of all services.
 
-
-def _minion(entry: StoreEntry) -> MinionEntry | None:
+        Guards against entries of another writer, with fields that are missing or of
+        another type, or an unknown state: such an entry names no minion to use, and
+        whoever else is listed must not be lost with it.
+        """
+        found = await self._store.snapshot(SERVERS_PREFIX)
+        entries = []
+        for entry in found.entries:
+            try:
+                entries.append(minion_entry(entry))
+            except UnreadableBodyError as error:
+                self._ignored(entry.name, str(error))
+        return [entry for entry in entries if entry.data_centre == data_centre]
+
+
+def minion_entry(entry: StoreEntry) -> MinionEntry:
+    """Return the minion that `entry` names; raise UnreadableBodyError if none."""
+    name = entry.name.removeprefix(SERVERS_PREFIX)
+    if not _ID.fullmatch(name):
+        raise UnreadableBodyError(f"no id: {name!r}")
+    body = ServerBody.decode_strictly(entry.value)
+    if body.state not in _DRAINING:
+        raise UnreadableBodyError(f"unknown state {body.state!r}")
     try:
-        body = ServerBody.decode(entry.value)
-        host, _, port = body.address.rpartition(":")
-        return MinionEntry(
-            MinionId(entry.name.removeprefix(SERVERS_PREFIX)),
-            ServiceName(body.service),
-            DataCentreName(body.zone),
-            host,
-            int(port),
-            Resources(body.capacity.cpu, body.capacity.mem_mb, body.capacity.gpu),
-            tuple(body.labels),
-            body.state == _DRAINING,
-        )
-    except (UnreadableBodyError, ValueError):
-        # An entry in a format that this version does not know is no minion to it.
-        return None
-
-
-__all__ = ["MinionListing"]
+        endpoint = parse_endpoint(body.address)
+    except ValueError as error:
+        raise UnreadableBodyError(f"address {body.address!r}: {error}") from error
+    return MinionEntry(
+        MinionId(name),
+        ServiceName(body.service),
+        DataCentreName(body.zone),
+        endpoint.address,
+        endpoint.port,
+        Resources(body.capacity.cpu, body.capacity.mem_mb, body.capacity.gpu),
+        body.labels,
+        _DRAINING[body.state],
+    )
+
+
+__all__ = ["MinionListing", "minion_entry"]
--- a/src/brasstray/platform/store_bodies.py
+++ b/src/brasstray/platform/store_bodies.py
@@ -19,8 +19,16 @@
     removed: bool = False
 
     def entry(self) -> StoreEntry:
-        """Return the item as an entry."""
-        return StoreEntry(self.key, b64decode(self.value), self.revision)
+        """Return the item as an entry; a value that is no base64 counts as empty.
+
+        Guards against one such value hiding all other entries of its page: nothing
+        that hosts look for is empty, so that it is told of as unreadable.
+        """
+        try:
+            value = b64decode(self.value)
+        except ValueError:
+            value = b""
+        return StoreEntry(self.key, value, self.revision)
 
 
 class Page(Body, frozen=True, kw_only=True):
--- a/tests/host/test_pool_failures.py
+++ b/tests/host/test_pool_failures.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from datetime import timedelta
 
 import anyio
@@ -727,3 +728,19 @@
     load, system = play_pools(story, size)
     assert system.book.broken == []
     assert load.succeeded == 1
+
+
+def test_an_entry_of_an_unknown_service_names_no_minion(play_pools):
+    # Another writer lists something under a service that the configuration does not
+    # name. It may be no minion at all: nobody calls it, and the others go on.
+    async def story(system):
+        stranger = replace(system.listed[0], id="stranger", service="printing")
+        system.listed.append(stranger)
+        await system.clock.sleep(2 * SECOND)
+        owner = system.hosts[system.owner()].host.owner
+        result = await system.submit(system.other(), usual_batch("7" * 16))
+        return {minion.entry.id for minion in owner.minions}, result.outcome
+
+    (known, outcome), _ = play_pools(story)
+    assert known == {f"dc0-m{number}" for number in range(4)}
+    assert outcome is BatchOutcome.SUCCEEDED
--- /dev/null
+++ b/tests/platform/test_decoders.py
@@ -0,0 +1,167 @@
+"""Feed arbitrary bytes and JSON to every decoder of the platform's formats."""
+
+from __future__ import annotations
+
+import json
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from brasstray.batch.configuration import Configuration
+from brasstray.host.config_source import UnreadableConfigError
+from brasstray.host.owner_record import owned_pool
+from brasstray.peer.errors import UnreadableMessageError
+from brasstray.peer.pool_messages import decode_frame
+from brasstray.platform.body import UnreadableBodyError
+from brasstray.platform.configuration_body import parse_configuration
+from brasstray.platform.job_bodies import (
+    UnreadableJobError,
+    UnsupportedJobError,
+    parse_job,
+)
+from brasstray.platform.minion_bodies import HoldReply, Reply
+from brasstray.platform.minion_listing import minion_entry
+from brasstray.platform.store_bodies import Committed, Events, Item, Page
+from brasstray.store.entry import StoreEntry
+
+SERVER = {
+    "Service": "s",
+    "Address": "10.0.0.1:80",
+    "Zone": "z",
+    "Version": "v1",
+    "Slots": 8,
+    "State": "ready",
+    "Capacity": {"Cpu": 16_000, "MemMb": 32_768, "Gpu": 0},
+    "Labels": ["a", "r1-3"],
+    "Seq": 4,
+}
+NAMES = st.sampled_from(
+    [
+        *SERVER,
+        "Steps",
+        "Count",
+        "After",
+        "BestEffort",
+        "ClockMs",
+        "Running",
+        "Finished",
+        "Routes",
+        "Name",
+        "Prefix",
+        "Host",
+        "items",
+        "events",
+        "Key",
+        "Value",
+        "Revision",
+        "AsOf",
+        "host",
+        "incarnation",
+        "port",
+    ]
+)
+VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=9),
+    lambda inner: (
+        st.lists(inner, max_size=4) | st.dictionaries(NAMES, inner, max_size=6)
+    ),
+    max_leaves=12,
+)
+TEXTS = st.binary(max_size=60) | VALUES.map(lambda v: json.dumps(v).encode())
+
+
+def entry(text, name="servers/i-1"):
+    return StoreEntry(name, text, 7)
+
+
+DECODERS = [
+    (lambda text: parse_job("a" * 16, text), (UnreadableJobError, UnsupportedJobError)),
+    (parse_configuration, UnreadableConfigError),
+    (lambda text: HoldReply.decode(text).look(), (UnreadableBodyError, ValueError)),
+    (Reply.decode, UnreadableBodyError),
+    (lambda text: minion_entry(entry(text)), UnreadableBodyError),
+    (lambda text: Item.decode(text).entry(), UnreadableBodyError),
+    (lambda text: [i.entry() for i in Page.decode(text).items], UnreadableBodyError),
+    (Events.decode, UnreadableBodyError),
+    (Committed.decode, UnreadableBodyError),
+    (lambda text: owned_pool(entry(text)), ValueError),
+    (decode_frame, UnreadableMessageError),
+]
+
+
+@pytest.mark.parametrize(("decode", "error"), DECODERS)
+@settings(max_examples=200, derandomize=True, deadline=None, database=None)
+@given(text=TEXTS)
+def test_nothing_but_the_typed_error_is_raised(decode, error, text):
+    try:
+        decode(text)
+    except error:
+        return
+
+
+@settings(max_examples=300, derandomize=True, deadline=None, database=None)
+@given(field=st.sampled_from(sorted(SERVER)), value=VALUES)
+def test_an_entry_with_one_field_of_any_kind_names_a_minion_or_none(field, value):
+    text = json.dumps(SERVER | {field: value}).encode()
+    try:
+        found = minion_entry(entry(text))
+    except UnreadableBodyError:
+        return
+    assert found.draining in (True, False)
+    assert found.host
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"Service": None},
+        {"Service": 7},
+        {"Address": "store:80"},
+        {"Address": "10.0.0.1"},
+        {"Address": "10.0.0.1:99999"},
+        {"Zone": ["z"]},
+        {"State": "resting"},
+        {"State": ""},
+        {"Capacity": {}},
+        {"Capacity": {"Cpu": "16000", "MemMb": 1}},
+        {"Capacity": {"Cpu": -1, "MemMb": 1}},
+        {"Labels": "r1-3"},
+    ],
+)
+def test_an_entry_of_another_writer_names_no_minion(changes):
+    # Another program writes into the list of minions. If its entry were taken for a
+    # minion, tasks would be sent to something that does not run them; if it were an
+    # error of the whole list, no other minion would be found any more.
+    with pytest.raises(UnreadableBodyError, match=r"\w"):
+        minion_entry(entry(json.dumps(SERVER | changes).encode()))
+    with pytest.raises(UnreadableBodyError):
+        text = {k: v for k, v in SERVER.items() if k not in changes}
+        minion_entry(entry(json.dumps(text | changes).encode()))
+
+
+@pytest.mark.parametrize("field", ["Service", "Address", "Zone", "State", "Capacity"])
+def test_an_entry_without_a_field_names_no_minion(field):
+    text = json.dumps({k: v for k, v in SERVER.items() if k != field}).encode()
+    with pytest.raises(UnreadableBodyError):
+        minion_entry(entry(text))
+
+
+@pytest.mark.parametrize("name", ["servers/", "servers/a b", "servers/a\r\nx: y"])
+def test_a_key_that_is_no_id_names_no_minion(name):
+    with pytest.raises(UnreadableBodyError):
+        minion_entry(entry(json.dumps(SERVER).encode(), name))
+
+
+def test_a_sound_entry_names_a_minion():
+    found = minion_entry(entry(json.dumps(SERVER).encode()))
+    assert (found.id, found.host, found.port) == ("i-1", "10.0.0.1", 80)
+    assert found.capacity.cpu_millis == 16_000
+    assert not found.draining
+
+
+def test_services_are_known_by_the_configuration():
+    text = {"Version": 1, "Services": [{"Name": "s"}, {"Name": "t"}]}
+    found = parse_configuration(json.dumps(text).encode())
+    assert isinstance(found, Configuration)
+    assert found.knows("t")
+    assert not found.knows("u")
