Show that late starts and runs without a starter are stopped

Stories for what runs on after its job was cancelled: an order carried out 2 s late with its caller, its owner or its coordinator gone, and runs whose starter was removed. All twelve cases pass on the code as it is: an owner stops each run that nobody claims, also those that it finds on a minion later.

--- /dev/null
+++ b/tests/host/test_unasked.py
@@ -0,0 +1,82 @@
+"""Check that no task runs on for a job that nobody waits for any more."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import anyio
+import pytest
+
+from brasstray_standins.leased_minion import Work
+from brasstray_standins.pool_system import USUAL_NEEDS, PoolSystemSize, usual_batch
+
+SECOND = timedelta(seconds=1)
+SIZE = PoolSystemSize(data_centres=1, hosts_each=3, minions_each=2)
+
+
+def ms(count):
+    return timedelta(milliseconds=count)
+
+
+def running(system):
+    return {name for place in system.places.values() for name in place.running}
+
+
+@pytest.mark.parametrize("cancelled_after", [20, 500, 1_500])
+@pytest.mark.parametrize("then", ["nothing", "owner killed", "coordinator killed"])
+def test_a_start_that_comes_late_is_stopped(play_pools, cancelled_after, then):
+    # A minion leaves an order unanswered and carries it out two seconds later. By then
+    # the caller has cancelled the job, and its host or the one that ordered the start
+    # may be gone. Whatever the minion then begins must not run on.
+    async def story(system):
+        system.book.usual = Work(USUAL_NEEDS, 60 * SECOND)
+        owner, name = system.owner(), system.other()
+        calls = system.hosts[owner].calls
+        calls.late, calls.lateness = 2, ms(2_000)
+        batch = usual_batch("a" * 16, 2, 2 * SECOND)
+        async with anyio.create_task_group() as group:
+            group.start_soon(system.submit, name, batch, 10 * SECOND)
+            await system.clock.sleep(ms(cancelled_after))
+            system.hosts[name].host.coordinator.cancel(batch.id)
+            if then == "owner killed":
+                system.kill(owner)
+            elif then == "coordinator killed":
+                system.kill(name)
+            await system.clock.sleep(4 * SECOND)
+            left = running(system)
+            group.cancel_scope.cancel()
+        return left
+
+    left, system = play_pools(story, SIZE)
+    assert left == set()
+    assert system.book.broken == []
+
+
+@pytest.mark.parametrize("removed", ["owner", "coordinator", "both"])
+def test_a_task_whose_starter_was_removed_is_stopped(play_pools, removed):
+    # The host that had a task started is removed for good, and the job is cancelled or
+    # its caller is gone with it. Whoever orders the minions next finds a run that
+    # nobody asks for, and stops it.
+    async def story(system):
+        system.book.usual = Work(USUAL_NEEDS, 60 * SECOND)
+        owner, name = system.owner(), system.other()
+        batch = usual_batch("b" * 16, 2, 2 * SECOND)
+        async with anyio.create_task_group() as group:
+            group.start_soon(system.submit, name, batch, 10 * SECOND)
+            await system.clock.sleep(ms(300))
+            begun = len(running(system))
+            if removed != "owner":
+                system.kill(name)
+            else:
+                system.hosts[name].host.coordinator.cancel(batch.id)
+            if removed != "coordinator":
+                system.kill(owner)
+            await system.clock.sleep(3 * SECOND)
+            left = running(system)
+            group.cancel_scope.cancel()
+        return begun, left
+
+    (begun, left), system = play_pools(story, SIZE)
+    assert begun == 2
+    assert left == set()
+    assert system.book.broken == []
