Beat seldom between an owner and hosts that would not follow it first

Cause: each host told its owner that it lives every 150 ms and heard as much, idle or not; at 20 hosts a data centre that was most of what an idle host woke for. Ruled out: longer beats for all, as named successors must take a silent owner's pool before leases lapse. Hosts that are not named beat each 300 ms, unless a task of theirs is at the owner, and allow it 800 ms of silence. Messages of an idle host: under 14 a second at 4, 24 and 100 hosts (tests/host/test_links.py).

--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -325,6 +325,7 @@
         for link in self._requesters:
             if link.data_centre == self._identity.data_centre:
                 link.tell(message)
+                link.watch_closely(link.name in message.hosts)
 
     async def _move_pool_when_better(self) -> None:
         """Ask the strongest host to take the pool from one that is much weaker."""
--- a/src/brasstray/host/pool_link.py
+++ b/src/brasstray/host/pool_link.py
@@ -12,6 +12,7 @@
 from brasstray.peer.message.ping import Ping
 from brasstray.peer.message.pool_state import PoolState
 from brasstray.peer.message.run_tasks import RunTasks
+from brasstray.peer.message.successors import Successors
 from brasstray.peer.message.tasks_returned import TasksReturned
 from brasstray.peer.message_stream import NobodyListensError, StreamClosedError
 from brasstray.peer.pipe import Pipe
@@ -86,6 +87,7 @@
         self._pipe: Pipe | None = None
         self._asked = False
         self._idle = False
+        self._named = True
         self._state: PoolState | None = None
         self._scope = anyio.CancelScope()
         self._reach = OwnerReach.EXPECTED
@@ -155,6 +157,7 @@
         except StreamClosedError:
             self._give_back_early()
             return
+        self._named = True
         pipe = self._pipe = Pipe(stream, self._timing.owner_silence, self._take)
         reason = "stopped"
         pipe.tell(
@@ -216,7 +219,9 @@
 
     async def _ping(self, pipe: Pipe, scope: anyio.CancelScope) -> None:
         while True:
-            await self._clock.sleep(self._timing.ping)
+            often = self._named or self._busy(self._pool)
+            timing = self._timing
+            await self._clock.sleep(timing.ping if often else timing.slow_ping)
             if self._is_idle():
                 self._idle = True
                 scope.cancel()
@@ -230,6 +235,12 @@
     def _take(self, message: PoolMessage) -> None:
         if isinstance(message, PoolState):
             self._see(message)
+        elif isinstance(message, Successors) and self._pipe is not None:
+            self._named = self._identity.host in message.hosts
+            timing = self._timing
+            self._pipe.allow_silence(
+                timing.owner_silence if self._named else timing.slow_owner_silence
+            )
         self._take_message(self._pool, message)
 
     def _see(self, state: PoolState) -> None:
--- a/src/brasstray/host/requester_link.py
+++ b/src/brasstray/host/requester_link.py
@@ -40,6 +40,7 @@
         self._name = "unknown"
         self._data_centre: DataCentreName | None = None
         self._power = 0.0
+        self._beat = timing.ping
 
     @property
     def name(self) -> str:
@@ -62,6 +63,10 @@
         self._power = hello.power
         self._data_centre = data_centre_of(hello.incarnation)
 
+    def watch_closely(self, closely: bool) -> None:
+        """Tell the host often, or seldom, that this one lives."""
+        self._beat = self._timing.ping if closely else self._timing.slow_ping
+
     def tell(self, message: PoolMessage) -> None:
         """Send `message`, if the host is in reach."""
         self._pipe.tell(message)
@@ -84,7 +89,7 @@
     async def _tell_states(self) -> None:
         while True:
             self.tell_state()
-            await self._clock.sleep(self._timing.ping)
+            await self._clock.sleep(self._beat)
 
 
 __all__ = ["RequesterLink"]
--- a/src/brasstray/host/timing.py
+++ b/src/brasstray/host/timing.py
@@ -19,6 +19,9 @@
 
     `ping` goes both ways on every link. `owner_silence` is after how many of them an
     owner counts as lost: low enough that a takeover comes before leases lapse.
+    `slow_ping` and `slow_owner_silence` take their place between an owner and a host
+    that it has not named as a successor, the first while no task of that host is there;
+    twice `slow_ping` is the most that `requester_silence` allows.
     `vacancy_patience` is how long an owner is waited for once it is lost, and
     `claim_jitter` spreads the hosts that would take its pool over at once.
     `newcomer_patience` is how long a new owner may take to be reached: it learns of its
@@ -33,7 +36,9 @@
     """
 
     ping: timedelta = _ms(150)
+    slow_ping: timedelta = _ms(300)
     owner_silence: timedelta = _ms(400)
+    slow_owner_silence: timedelta = _ms(800)
     reconnect: timedelta = _ms(30)
     vacancy_patience: timedelta = _ms(60)
     claim_jitter: timedelta = _ms(80)
--- a/src/brasstray/peer/pipe.py
+++ b/src/brasstray/peer/pipe.py
@@ -44,6 +44,10 @@
         """Tell whether messages still go out."""
         return self._open
 
+    def allow_silence(self, silence: timedelta) -> None:
+        """End after this much silence from the next message on."""
+        self._silence = silence
+
     def tell(self, message: PoolMessage) -> None:
         """Queue `message`."""
         if not self._open:
--- a/src/brasstray_standins/memory_streams.py
+++ b/src/brasstray_standins/memory_streams.py
@@ -35,6 +35,7 @@
         self.groups: dict[str, int] = {}
         self.streams: list[MemoryStream] = []
         self.opening = ONE_WAY
+        self.sent = 0
 
     def cut(self, groups: dict[str, int]) -> None:
         """Let only hosts of the same number in `groups` reach one another."""
@@ -80,6 +81,7 @@
     async def send(self, messages: list[PoolMessage]) -> None:
         """Send `messages`; they are lost if the hosts are cut off."""
         await self._gate.wait()
+        self._network.sent += len(messages)
         if self.silent or not self._network.connected(self.here, self.there):
             return
         try:
--- a/tests/host/test_links.py
+++ b/tests/host/test_links.py
@@ -37,6 +37,25 @@
     assert links == centres * (hosts - 1) + centres * (centres - 1)
 
 
+@pytest.mark.parametrize(("centres", "hosts"), [(1, 4), (2, 12), (5, 20)])
+def test_idle_hosts_send_few_messages_however_many_there_are(
+    play_pools, centres, hosts
+):
+    # Nobody asks for anything. What hosts tell one another only to show that they live
+    # must not grow with the fleet: an owner and its named successors tell one another
+    # seven times a second each way, an owner and all others three or four times.
+    size = PoolSystemSize(data_centres=centres, hosts_each=hosts, minions_each=2)
+
+    async def story(system):
+        await system.clock.sleep(SECOND)
+        before = system.network.sent
+        await system.clock.sleep(10 * SECOND)
+        return (system.network.sent - before) / 10 / (centres * hosts)
+
+    a_host, _ = play_pools(story, size)
+    assert a_host < 14
+
+
 def test_a_link_is_opened_for_tasks_that_go_away_and_closed_after_them(play_pools):
     # A data centre is full, and its owner names another that has room. The host that
     # has the job opens a link there at once, and lets it go some seconds later.
