Tell ends of a step together with the last of them

Cause: a host that waits for a job of eight tasks woke eight times, and an owner wrote eight messages, where only the last end changes anything. Ruled out: telling ends in one message after a pause, which makes each job later. An end with others of its step still to come from the same pool goes out with the next message on the link, at the latest with a heartbeat. If the owner dies in between, its successor may run such a task again.

--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -63,6 +63,9 @@
     def tell(self, message: PoolMessage) -> None:
         self._host.take_from_pool(self._pool, message)
 
+    def tell_later(self, message: PoolMessage) -> None:
+        self.tell(message)
+
 
 class PoolHost:
     """Join coordinator, ownership and owner of one host."""
--- a/src/brasstray/host/requester_link.py
+++ b/src/brasstray/host/requester_link.py
@@ -71,6 +71,10 @@
         """Send `message`, if the host is in reach."""
         self._pipe.tell(message)
 
+    def tell_later(self, message: PoolMessage) -> None:
+        """Send `message` with the next one, at the latest with the next state."""
+        self._pipe.tell_later(message)
+
     def tell_state(self) -> None:
         """Tell what this host owns now."""
         self._pipe.tell(self._state())
--- a/src/brasstray/peer/pipe.py
+++ b/src/brasstray/peer/pipe.py
@@ -49,13 +49,17 @@
         self._silence = silence
 
     def tell(self, message: PoolMessage) -> None:
-        """Queue `message`."""
+        """Queue `message`, and have all that waits sent."""
+        self.tell_later(message)
+        self._wake.set()
+
+    def tell_later(self, message: PoolMessage) -> None:
+        """Queue `message`, to go out with the next one that does not wait."""
         if not self._open:
             return
         if len(self._waiting) >= MOST_WAITING:
             self._open = False
         self._waiting.append(message)
-        self._wake.set()
 
     async def run(self) -> str:
         """Carry messages until the connection ends; return why it did."""
--- a/src/brasstray/pool/requester.py
+++ b/src/brasstray/pool/requester.py
@@ -14,5 +14,8 @@
     def tell(self, message: PoolMessage) -> None:
         """Take `message`, in order; drop it if the requester is out of reach."""
 
+    def tell_later(self, message: PoolMessage) -> None:
+        """Take `message` in order, at the latest with the next heartbeat."""
+
 
 __all__ = ["Requester"]
--- a/src/brasstray/pool/task_book.py
+++ b/src/brasstray/pool/task_book.py
@@ -90,7 +90,13 @@
             done=(index,) if done else (),
             failed=() if done else (index,),
         )
-        step.requester.tell(message)
+        # The requester can do nothing with one end while others of the step are still
+        # to come from here. Told with the last of them it saves two of three messages
+        # to whoever waits for a job of the usual width.
+        if done and step.tasks:
+            step.requester.tell_later(message)
+        else:
+            step.requester.tell(message)
 
     def give_up(self, task: PoolTask) -> None:
         """Give back a task that may run where nobody reaches it."""
--- /dev/null
+++ b/tests/pool/test_task_book.py
@@ -0,0 +1,87 @@
+"""Check when whoever asked for tasks is told how they ended."""
+
+from __future__ import annotations
+
+import pytest
+from tests.conftest import run_virtual
+
+from brasstray.batch.ids import RunNumber
+from brasstray.batch.task_name import TaskName
+from brasstray.clock.loop import LoopClock
+from brasstray.peer.message.run_tasks import RunTasks
+from brasstray.pool.pool_task import PoolTask, TaskPhase
+from brasstray.pool.task_book import TaskBook
+
+JOB = "a" * 16
+
+
+class Requester:
+    name = "r"
+
+    def __init__(self):
+        self.told = []
+
+    def tell(self, message):
+        self.told.append(("now", message.done, message.failed))
+
+    def tell_later(self, message):
+        self.told.append(("later", message.done, message.failed))
+
+
+class Silent:
+    def __getattr__(self, name):
+        return lambda *_, **__: None
+
+
+def request(width):
+    return RunTasks(
+        batch=JOB,
+        step=0,
+        indices=tuple(range(width)),
+        width=width,
+        queue="q",
+        service="s",
+        spec="",
+        cpu_millis=1,
+        memory_mb=1,
+        gpus=0,
+        estimate_ms=60,
+        due_ms=100,
+        useful_ms=300,
+        limit_ms=1_000,
+        priority=0,
+        attempts=3,
+    )
+
+
+@pytest.mark.parametrize(
+    ("ends", "told"),
+    [
+        ([True], [("now", (0,), ())]),
+        (
+            [True, True, True],
+            [("later", (0,), ()), ("later", (1,), ()), ("now", (2,), ())],
+        ),
+        # A task that has failed for good ends its job: its caller need not wait.
+        (
+            [True, False, True],
+            [("later", (0,), ()), ("now", (), (1,)), ("now", (2,), ())],
+        ),
+    ],
+)
+def test_ends_wait_for_the_last_of_their_step(ends, told):
+    # A job of eight tasks ends with its last one. Told one by one, seven of eight
+    # messages would have the waiting host wake for nothing.
+    requester = Requester()
+
+    async def story():
+        book = TaskBook(LoopClock(), Silent())
+        step = book.take(requester, request(len(ends)))
+        for index in range(len(ends)):
+            name = TaskName(JOB, 0, index)
+            step.tasks[index] = PoolTask(name, step, TaskPhase.PLACED, RunNumber(1))
+        for index, done in enumerate(ends):
+            book.finish(step.tasks[index], done=done)
+
+    run_virtual(story)
+    assert requester.told == told
