Split what reads minions and what tells hosts out of the host

Behaviour unchanged; the tests of host, pool, daemon and platform passed but for one: two hosts were asked one after the other who owns the pool, beside some 12 busy processes, and both said that they did.

--- /dev/null
+++ b/src/brasstray/host/minion_feed.py
@@ -0,0 +1,91 @@
+"""Keep the owner of a pool, and whoever may follow it, informed of its minions."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from brasstray.peer.message.pool_minions import PoolMinions
+from brasstray.store.errors import StoreUnavailableError
+
+if TYPE_CHECKING:
+    from brasstray.clock.clock import Clock
+    from brasstray.host.config_source import MinionList
+    from brasstray.host.current_config import CurrentConfig
+    from brasstray.host.host_events import HostEvents
+    from brasstray.host.requester_link import RequesterLink
+    from brasstray.host.requester_links import RequesterLinks
+    from brasstray.host.timing import HostTiming
+    from brasstray.job.ids import DataCentreName
+    from brasstray.pool.minion_entry import MinionEntry
+    from brasstray.pool.owner import PoolOwner
+
+
+class MinionFeed:
+    """Read the list of minions for an owner, and remember whom the last owner held."""
+
+    def __init__(
+        self,
+        data_centre: DataCentreName,
+        minion_list: MinionList,
+        config: CurrentConfig,
+        links: RequesterLinks,
+        clock: Clock,
+        timing: HostTiming,
+        events: HostEvents,
+    ) -> None:
+        self._data_centre = data_centre
+        self._list = minion_list
+        self._config = config
+        self._links = links
+        self._clock = clock
+        self._timing = timing
+        self._events = events
+        self._held: tuple[MinionEntry, ...] | None = None
+
+    @property
+    def held(self) -> tuple[MinionEntry, ...] | None:
+        """Return the minions that the pool's owner held last; None if nobody told."""
+        return self._held
+
+    def hear(self, minions: tuple[MinionEntry, ...]) -> None:
+        """Take note of the minions that another owner of the pool holds."""
+        self._held = minions
+
+    def tell(self, link: RequesterLink) -> None:
+        """Tell a host that may take the pool over which minions it has."""
+        if link.data_centre == self._data_centre and self._held is not None:
+            link.tell(PoolMinions(minions=self._held))
+
+    async def follow(self, owner: PoolOwner) -> None:
+        """Read the list for `owner` again and again, until cancelled."""
+        while True:
+            try:
+                listed = await self._list.minions(self._data_centre)
+                owner.list_minions(self._of_known_services(listed))
+                self._tell_changes(owner)
+                self._events.store_back("minions")
+            except StoreUnavailableError as error:
+                self._events.store_lost("minions", str(error))
+            await self._clock.sleep(self._timing.pool.list_interval)
+
+    def _of_known_services(self, listed: list[MinionEntry]) -> list[MinionEntry]:
+        """Leave out minions of services that the configuration does not name."""
+        config = self._config.current
+        if config is None:
+            return listed
+        known = []
+        for entry in listed:
+            if config.knows(entry.service):
+                known.append(entry)
+            else:
+                self._events.entry_ignored(entry.id, f"service {entry.service!r}")
+        return known
+
+    def _tell_changes(self, owner: PoolOwner) -> None:
+        held = tuple(minion.entry for minion in owner.minions)
+        if held != self._held:
+            self._held = held
+            self._links.tell_own_centre(PoolMinions(minions=held))
+
+
+__all__ = ["MinionFeed"]
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -11,16 +11,17 @@
 from brasstray.batch.outcome import BatchOutcome, BatchResult, GiveUpReason
 from brasstray.coordinator.coordinator import Coordinator, chain_of
 from brasstray.host.current_config import CurrentConfig
+from brasstray.host.minion_feed import MinionFeed
 from brasstray.host.ownership import Ownership
 from brasstray.host.pool_directory import PoolDirectory
 from brasstray.host.requester_link import RequesterLink
+from brasstray.host.requester_links import RequesterLinks
 from brasstray.host.succession import (
     SHORTEST_TENURE,
     Succession,
     better_moved,
     successors,
 )
-from brasstray.job.ids import HostName
 from brasstray.peer.message.config_text import ConfigText
 from brasstray.peer.message.hello import Hello
 from brasstray.peer.message.ping import Ping
@@ -33,7 +34,6 @@
 from brasstray.peer.message.tasks_returned import TasksReturned
 from brasstray.pool.owner import PoolOwner
 from brasstray.pool.pool_load import PoolLoad
-from brasstray.store.errors import StoreUnavailableError
 
 if TYPE_CHECKING:
     from anyio.abc import TaskGroup
@@ -47,7 +47,6 @@
     from brasstray.host.timing import HostTiming
     from brasstray.peer.message_stream import MessageStream
     from brasstray.peer.pool_messages import PoolMessage
-    from brasstray.pool.minion_entry import MinionEntry
 
 _MILLISECOND = timedelta(milliseconds=1)
 
@@ -85,6 +84,16 @@
         self._events = events = outside.events
         self._config = CurrentConfig(outside.config, clock, timing, events)
         self._pool = PoolId(str(identity.data_centre))
+        self._requesters = RequesterLinks(identity.data_centre)
+        self._feed = MinionFeed(
+            identity.data_centre,
+            outside.minion_list,
+            self._config,
+            self._requesters,
+            clock,
+            timing,
+            events,
+        )
         self._directory = PoolDirectory(
             identity,
             outside.opener,
@@ -116,13 +125,11 @@
         self._owner: PoolOwner | None = None
         self._owner_scope: anyio.CancelScope | None = None
         self._local = _LocalRequester(self, self._pool)
-        self._requesters: set[RequesterLink] = set()
         self._group: TaskGroup | None = None
         self._draining = False
         self._moving = False
         self._owner_since = timedelta(0)
         self._leaves_at: timedelta | None = None
-        self._held_minions: tuple[MinionEntry, ...] | None = None
 
     @property
     def identity(self) -> HostIdentity:
@@ -208,7 +215,7 @@
         self._draining = True
         self._events.draining()
         self._ownership.drain()
-        self._tell_state_to_all()
+        self._requesters.tell_state()
         if time_left is not None:
             self._leaves_at = self._clock.monotonic() + time_left
             assert self._group is not None
@@ -252,7 +259,7 @@
             self._directory,
             self._events,
             lambda: self._ownership.confirm(owned),
-            self._held_minions,
+            self._feed.held,
         )
         self._events.pool_taken(self._pool, owned.token, "claimed")
         self._owner_since = self._clock.monotonic()
@@ -260,76 +267,19 @@
         self._owner_scope = anyio.CancelScope()
         self._group.start_soon(self._run_owner, owner, self._owner_scope)
         self._directory.own(self._pool, self._take_local, self._load)
-        self._tell_state_to_all()
+        self._requesters.tell_state()
         self._coordinator.claim(self._pool)
 
     async def _run_owner(self, owner: PoolOwner, scope: anyio.CancelScope) -> None:
         with scope:
             async with anyio.create_task_group() as group:
-                group.start_soon(self._list_minions, owner)
+                group.start_soon(self._feed.follow, owner)
                 await owner.run()
                 group.cancel_scope.cancel()
         if owner is self._owner and owner.deposed:
             self._ownership.drop()
             self._leave_pool("a minion has seen a higher token")
 
-    async def _list_minions(self, owner: PoolOwner) -> None:
-        while True:
-            try:
-                centre = self._identity.data_centre
-                listed = await self._outside.minion_list.minions(centre)
-                owner.list_minions(self._of_known_services(listed))
-                self._tell_minions(owner)
-                self._events.store_back("minions")
-            except StoreUnavailableError as error:
-                self._events.store_lost("minions", str(error))
-            await self._clock.sleep(self._timing.pool.list_interval)
-
-    def _of_known_services(self, listed: list[MinionEntry]) -> list[MinionEntry]:
-        """Leave out minions of services that the configuration does not name."""
-        config = self._config.current
-        if config is None:
-            return listed
-        known = []
-        for entry in listed:
-            if config.knows(entry.service):
-                known.append(entry)
-            else:
-                self._events.entry_ignored(entry.id, f"service {entry.service!r}")
-        return known
-
-    def _tell_minions(self, owner: PoolOwner) -> None:
-        """Tell the hosts that may take the pool over which minions it has."""
-        held = tuple(minion.entry for minion in owner.minions)
-        if held == self._held_minions:
-            return
-        self._held_minions = held
-        for link in self._requesters:
-            self._tell_minions_to(link)
-
-    def _tell_minions_to(self, link: RequesterLink) -> None:
-        same_centre = link.data_centre == self._identity.data_centre
-        if same_centre and self._owner is not None and self._held_minions is not None:
-            link.tell(PoolMinions(minions=self._held_minions))
-
-    def _own_centre_powers(self) -> dict[HostName, float]:
-        """Return how strong the hosts are that could take the pool over."""
-        centre = self._identity.data_centre
-        return {
-            HostName(link.name): link.power
-            for link in self._requesters
-            if link.data_centre == centre
-        }
-
-    def _tell_successors(self) -> None:
-        if self._owner is None:
-            return
-        message = Successors(hosts=successors(self._own_centre_powers()))
-        for link in self._requesters:
-            if link.data_centre == self._identity.data_centre:
-                link.tell(message)
-                link.watch_closely(link.name in message.hosts)
-
     async def _move_pool_when_better(self) -> None:
         """Ask the strongest host to take the pool from one that is much weaker."""
         while True:
@@ -337,11 +287,11 @@
             if self._owner is None or self._draining or self._moving:
                 continue
             held = self._clock.monotonic() - self._owner_since
-            powers = self._own_centre_powers()
+            powers = self._requesters.powers
             if better_moved(self._identity.power, powers.values(), held):
                 self._moving = True
                 self._events.pool_moving(self._pool, successors(powers)[0])
-                self._tell_state_to_all()
+                self._requesters.tell_state()
 
     def _leave_pool(self, why: str) -> None:
         self._moving = False
@@ -351,11 +301,7 @@
         self._directory.disown()
         self._owner_scope.cancel()
         self._events.pool_left(self._pool, owner.token, why)
-        self._tell_state_to_all()
-
-    def _tell_state_to_all(self) -> None:
-        for link in self._requesters:
-            link.tell_state()
+        self._requesters.tell_state()
 
     async def _push_loads(self) -> None:
         """Tell the other owners at once when this pool gains room or runs out of it.
@@ -373,9 +319,7 @@
             places = self._load().places
             if places > told or (told and not places):
                 told = places
-                for link in self._requesters:
-                    if self._directory.owns_other_pool(link.name):
-                        link.tell_state()
+                self._requesters.tell_state(self._directory.owns_other_pool)
             else:
                 told = min(told, places)
 
@@ -408,7 +352,8 @@
             reason = await link.run()
         finally:
             self._requesters.discard(link)
-            self._tell_successors()
+            if self._owner is not None:
+                self._requesters.name_successors()
         if reason != "silent":
             # The host may come back on another connection and ask again; its runs go
             # on for as long as if it had only been silent.
@@ -421,9 +366,10 @@
         match message:
             case Hello():
                 link.introduce(message)
-                self._tell_minions_to(link)
                 self._events.requester_up(link.name)
-                self._tell_successors()
+                if self._owner is not None:
+                    self._feed.tell(link)
+                    self._requesters.name_successors()
                 self._compare_config(link, message.config_version)
             case Ping():
                 self._compare_config(link, message.config_version)
@@ -469,7 +415,7 @@
             case Successors() if pool == self._pool:
                 self._succession.name(message.hosts)
             case PoolMinions() if pool == self._pool:
-                self._held_minions = message.minions
+                self._feed.hear(message.minions)
             case ConfigText():
                 self._config.adopt_text(message.text, str(pool))
 
--- /dev/null
+++ b/src/brasstray/host/requester_links.py
@@ -0,0 +1,64 @@
+"""Hold the connections that other hosts have opened to this one."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from brasstray.host.succession import successors
+from brasstray.job.ids import HostName
+from brasstray.peer.message.successors import Successors
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator
+
+    from brasstray.host.requester_link import RequesterLink
+    from brasstray.job.ids import DataCentreName
+    from brasstray.peer.pool_messages import PoolMessage
+
+
+class RequesterLinks:
+    """Tell hosts what the owner of a pool has to tell, all or some of them."""
+
+    def __init__(self, data_centre: DataCentreName) -> None:
+        self._data_centre = data_centre
+        self._links: set[RequesterLink] = set()
+
+    def __iter__(self) -> Iterator[RequesterLink]:
+        return iter(list(self._links))
+
+    @property
+    def powers(self) -> dict[HostName, float]:
+        """Return how strong the hosts are that could take the pool over."""
+        return {HostName(link.name): link.power for link in self._own_centre()}
+
+    def add(self, link: RequesterLink) -> None:
+        """Hold `link`."""
+        self._links.add(link)
+
+    def discard(self, link: RequesterLink) -> None:
+        """Hold `link` no more."""
+        self._links.discard(link)
+
+    def tell_state(self, wanted: Callable[[str], bool] = lambda _: True) -> None:
+        """Tell what this host owns to each host whose name is `wanted`."""
+        for link in self._links:
+            if wanted(link.name):
+                link.tell_state()
+
+    def tell_own_centre(self, message: PoolMessage) -> None:
+        """Send `message` to the hosts of the own data centre."""
+        for link in self._own_centre():
+            link.tell(message)
+
+    def name_successors(self) -> None:
+        """Tell the hosts of the own data centre who takes the pool next."""
+        message = Successors(hosts=successors(self.powers))
+        self.tell_own_centre(message)
+        for link in self._own_centre():
+            link.watch_closely(link.name in message.hosts)
+
+    def _own_centre(self) -> list[RequesterLink]:
+        return [link for link in self._links if link.data_centre == self._data_centre]
+
+
+__all__ = ["RequesterLinks"]
