--- a/tests/settings/test_check.py
+++ b/tests/settings/test_check.py
@@ -41,6 +41,16 @@
             DaemonKind.POOL_HOST,
             [("store", "address"), ("minions", "lease_ms")],
         ),
+        (
+            POOL | {"processor": {"share": "0.5", "speed": "3"}},
+            DaemonKind.POOL_HOST,
+            [],
+        ),
+        (
+            POOL | {"processor": {"share": "0", "speed": "fast", "cores": "3"}},
+            DaemonKind.POOL_HOST,
+            [("processor", "share"), ("processor", "speed"), ("processor", "cores")],
+        ),
         (
             POOL | {"printer": {"paper": "a4"}},
             DaemonKind.POOL_HOST,
