Say truly which pools count as not asked

Cause: the comments said that no link is open there, while links that are being opened count as well. Comments only; lint, types and the tests of the host's status pass.

--- a/src/brasstray/host/host_status.py
+++ b/src/brasstray/host/host_status.py
@@ -48,7 +48,8 @@
 class OwnerStatus(_Status):
     """Hold the owner of a pool as the host knows it.
 
-    `in_reach` is None where no link is open, as no task of this host is there.
+    `in_reach` is None where no link is open, since no task of this host is there or
+    since it is only being opened.
     """
 
     pool: PoolId
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -182,7 +182,7 @@
 
     @property
     def unasked(self) -> set[PoolId]:
-        """Return the pools to which no link is open, as no task is sent there."""
+        """Return the pools not in reach, but for which a request may wait."""
         return set(self._directory.unasked())
 
     @property
