Say when configurations are told between hosts, and when a loop is late

Three hypotheses on service that does not come back could not be told apart: hosts log when they adopt a configuration, but not how often its text is passed on, and links lost as silent do not say whether the processor or the link was late. No decision changes.

--- a/src/brasstray/host/current_config.py
+++ b/src/brasstray/host/current_config.py
@@ -46,16 +46,19 @@
         """Return the version in force; NO_CONFIG if none is."""
         return self._current.version if self._current else NO_CONFIG
 
-    def adopt(self, found: Configuration | None, source: str) -> None:
-        """Put `found` in force if it is newer."""
-        if found is not None and found.version > self.version:
-            self._current = found
-            self._events.config_adopted(found.version, source)
+    def adopt(self, found: Configuration | None, source: str) -> bool:
+        """Put `found` in force if it is newer; tell whether it was."""
+        if found is None or found.version <= self.version:
+            return False
+        self._current = found
+        self._events.config_adopted(found.version, source)
+        return True
 
     def adopt_text(self, text: bytes, source: str) -> None:
         """Put the configuration in `text` in force if it is newer."""
         try:
-            self.adopt(self._source.parse(text), source)
+            if not self.adopt(self._source.parse(text), source):
+                self._events.config_unneeded(source, len(text))
         except UnreadableConfigError as error:
             self._events.config_unreadable(source, str(error))
 
--- a/src/brasstray/host/event_log.py
+++ b/src/brasstray/host/event_log.py
@@ -156,6 +156,18 @@
         """A newer configuration is in force here."""
         log_message("brasstray:config_adopted", version=version, source=source)
 
+    def config_told(self, host: str, version: ConfigVersion, size: int) -> None:
+        """A host with an older configuration was sent `size` bytes of this one."""
+        self._metrics.count_reason("config_told")
+        self._metrics.count_config_bytes("told", size)
+        log_message("brasstray:config_told", host=host, version=version, bytes=size)
+
+    def config_unneeded(self, source: str, size: int) -> None:
+        """A configuration of `size` bytes was received that is not newer."""
+        self._metrics.count_reason("config_unneeded")
+        self._metrics.count_config_bytes("unneeded", size)
+        log_message("brasstray:config_unneeded", source=source, bytes=size)
+
     def config_unreadable(self, source: str, why: str) -> None:
         """A configuration was not understood; the last one stays in force."""
         log_message("brasstray:config_unreadable", source=source, reason=why)
@@ -228,6 +240,11 @@
         """A host that asked for tasks is out of reach."""
         log_message("brasstray:requester_lost", host=host, reason=why)
 
+    def loop_late(self, milliseconds: int) -> None:
+        """This process came to a timer late, as it had too much to do."""
+        self._metrics.count_reason("loop_late")
+        log_message("brasstray:loop_late", milliseconds=milliseconds)
+
     def stood_still(self, milliseconds: int) -> None:
         """This process stood still and no longer trusts what it knew."""
         log_message("brasstray:stood_still", milliseconds=milliseconds)
--- a/src/brasstray/host/host_events.py
+++ b/src/brasstray/host/host_events.py
@@ -16,6 +16,12 @@
     def config_adopted(self, version: ConfigVersion, source: str) -> None:
         """A newer configuration is in force here."""
 
+    def config_told(self, host: str, version: ConfigVersion, size: int) -> None:
+        """A host with an older configuration was sent `size` bytes of this one."""
+
+    def config_unneeded(self, source: str, size: int) -> None:
+        """A configuration of `size` bytes was received that is not newer."""
+
     def config_unreadable(self, source: str, why: str) -> None:
         """A configuration was not understood; the last one stays in force."""
 
@@ -58,6 +64,9 @@
     def requester_lost(self, host: str, why: str) -> None:
         """A host that asked for tasks is out of reach."""
 
+    def loop_late(self, milliseconds: int) -> None:
+        """This process came to a timer late, as it had too much to do."""
+
     def stood_still(self, milliseconds: int) -> None:
         """This process stood still and no longer trusts what it knew."""
 
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -386,6 +386,7 @@
         current = self._config.current
         if current is not None and version < current.version:
             link.tell(ConfigText(text=current.text))
+            self._events.config_told(link.name, current.version, len(current.text))
 
     def _take_local(self, message: PoolMessage) -> None:
         if self._owner is None:
@@ -412,6 +413,8 @@
                     current = self._config.current
                     assert current is not None
                     self._directory.tell(pool, ConfigText(text=current.text))
+                    size = len(current.text)
+                    self._events.config_told(str(pool), current.version, size)
             case Successors() if pool == self._pool:
                 self._succession.name(message.hosts)
             case PoolMinions() if pool == self._pool:
@@ -425,10 +428,13 @@
         while True:
             at_work = self._owner is not None or self._coordinator.active
             timing = self._timing
-            await self._clock.sleep(timing.tick if at_work else timing.calm_tick)
+            pause = timing.tick if at_work else timing.calm_tick
+            await self._clock.sleep(pause)
             now = self._outside.uptime()
             stood = now - last
             last = now
+            if stood - pause >= timing.late:
+                self._events.loop_late((stood - pause) // _MILLISECOND)
             if stood < self._timing.freeze:
                 continue
             # Guards against orders of an owner that was suspended while another took
--- a/src/brasstray/host/timing.py
+++ b/src/brasstray/host/timing.py
@@ -32,6 +32,8 @@
     `tick` is how often what time changes is looked at while a takeover is due, a pool
     is owned or a job is at work, and `calm_tick` otherwise.
     `vacancy_check` is how often a host looks for a vacancy that no event has told of.
+    `late` is from how much on this process says that it came to a timer late: half of
+    what lets an owner count as silent is spent then.
     `freeze` is how long this process must have stood still to distrust what it knows.
     """
 
@@ -51,6 +53,7 @@
     calm_tick: timedelta = _ms(100)
     load_push: timedelta = _ms(10)
     vacancy_check: timedelta = _ms(500)
+    late: timedelta = _ms(100)
     freeze: timedelta = _ms(500)
     pool: PoolTiming = field(default_factory=PoolTiming)
     coordinator: CoordinatorTiming = field(default_factory=CoordinatorTiming)
--- a/src/brasstray/metrics/pool_metrics.py
+++ b/src/brasstray/metrics/pool_metrics.py
@@ -39,6 +39,11 @@
         self._ends = meter.create_counter(
             "brasstray_run_ends", description="runs ended, by how"
         )
+        self._config_bytes = meter.create_counter(
+            "brasstray_config_bytes",
+            unit="By",
+            description="configuration passed between hosts, by what became of it",
+        )
         self._latency = meter.create_histogram(
             "brasstray_latency_ratio",
             description="response time over the objective",
@@ -80,6 +85,10 @@
         """Count a task that is asked for again."""
         self._retries.add(1, {_REASON: reason})
 
+    def count_config_bytes(self, what: str, size: int) -> None:
+        """Count bytes of configurations that pass between hosts."""
+        self._config_bytes.add(size, {"what": what})
+
     def count_start(self, waited: timedelta) -> None:
         """Count a start and how long its task had waited."""
         self._wait.record(waited / _SECOND)
