--- a/src/brasstray_standins/memory_store.py
+++ b/src/brasstray_standins/memory_store.py
@@ -16,9 +16,14 @@
 from brasstray.store.watchable_store import Changes, Snapshot
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from brasstray.clock.clock import Clock
+    from brasstray_standins.narrow_link import NarrowLink
 
 DELAY = timedelta(milliseconds=4)
+# Values come as base64 text.
+TEXT_FACTOR = 4 / 3
 
 
 class MemoryStore:
@@ -96,10 +101,13 @@
 class StoreView:
     """Reach a store as one host does."""
 
-    def __init__(self, store: MemoryStore, host: str, clock: Clock) -> None:
+    def __init__(
+        self, store: MemoryStore, host: str, clock: Clock, link: NarrowLink
+    ) -> None:
         self._store = store
         self._host = host
         self._clock = clock
+        self._link = link
 
     async def _enter(self) -> None:
         await self._clock.sleep(DELAY)
@@ -129,14 +137,21 @@
     async def snapshot(self, prefix: str) -> Snapshot:
         """Return all entries under `prefix`."""
         await self._enter()
-        return self._store.snapshot(prefix)
+        found = self._store.snapshot(prefix)
+        await self._receive(found.entries)
+        return found
 
     async def watch(self, prefix: str, after: int, wait: timedelta) -> Changes:
         """Return the changes after a version, or none after `wait`."""
         await self._enter()
         changes = await self._store.watch(prefix, after, wait)
         await self._enter()
+        await self._receive(changes.written)
         return changes
 
+    async def _receive(self, entries: Iterable[StoreEntry]) -> None:
+        size = sum(len(entry.value) for entry in entries)
+        await self._link.carry(int(size * TEXT_FACTOR))
+
 
 __all__ = ["MemoryStore", "StoreView"]
--- a/src/brasstray_standins/memory_streams.py
+++ b/src/brasstray_standins/memory_streams.py
@@ -10,8 +10,11 @@
 
 from brasstray.peer.message_stream import NobodyListensError, StreamClosedError
 from brasstray.peer.pool_messages import decode_frame, encode_frame
+from brasstray_standins.narrow_link import NarrowLink
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
 
     from brasstray.clock.clock import Clock
@@ -27,10 +30,16 @@
     """Know where hosts listen and which of them are cut off from one another.
 
     A connection that was cut stays silent after the cut has healed; new ones work.
-    `opening` is how long a connection takes to open.
+    `opening` is how long a connection takes to open. `rate` tells how many bytes a
+    second the link of a machine carries each way; None for any number at once.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self, clock: Clock, rate: Callable[[str], float | None] = lambda _: None
+    ) -> None:
+        self._clock = clock
+        self._rate = rate
+        self._links: dict[tuple[str, bool], NarrowLink] = {}
         self.listening: dict[str, PoolHost] = {}
         self.groups: dict[str, int] = {}
         self.streams: list[MemoryStream] = []
@@ -44,6 +53,20 @@
             if not self.connected(stream.here, stream.there):
                 stream.silent = True
 
+    def link_from(self, machine: str) -> NarrowLink:
+        """Return what carries the bytes that `machine` sends."""
+        return self._link(machine, outwards=True)
+
+    def link_to(self, machine: str) -> NarrowLink:
+        """Return what carries the bytes that `machine` receives."""
+        return self._link(machine, outwards=False)
+
+    def _link(self, machine: str, *, outwards: bool) -> NarrowLink:
+        key = machine, outwards
+        if key not in self._links:
+            self._links[key] = NarrowLink(self._clock, self._rate(machine))
+        return self._links[key]
+
     def connected(self, one: str, other: str) -> bool:
         """Tell whether two hosts reach one another."""
         return self.groups.get(one, 0) == self.groups.get(other, 0)
@@ -84,8 +107,10 @@
         self._network.sent += len(messages)
         if self.silent or not self._network.connected(self.here, self.there):
             return
+        data = encode_frame(messages)
+        await self._network.link_from(self.here).carry(len(data))
         try:
-            await self._sending.send(encode_frame(messages))
+            await self._sending.send(data)
         except (anyio.ClosedResourceError, anyio.BrokenResourceError) as error:
             raise StreamClosedError("closed") from error
 
@@ -96,6 +121,7 @@
         except (anyio.ClosedResourceError, anyio.EndOfStream) as error:
             raise StreamClosedError("closed") from error
         await self._clock.sleep(ONE_WAY)
+        await self._network.link_to(self.here).carry(len(data))
         await self._gate.wait()
         return decode_frame(data)
 
--- /dev/null
+++ b/src/brasstray_standins/narrow_link.py
@@ -0,0 +1,47 @@
+"""Carry bytes at a limited rate, fairly between all who send at the same time."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from brasstray.clock.clock import Clock
+
+# What one sender puts on the link before the next one's turn: two full packets.
+TURN_BYTES = 3_000
+
+
+class NarrowLink:
+    """Stand in for one direction of a machine's network link.
+
+    `rate` is in bytes a second; None takes no time.
+    """
+
+    def __init__(self, clock: Clock, rate: float | None) -> None:
+        self._clock = clock
+        self._rate = rate
+        self._free_at = timedelta(0)
+        self._carried = 0
+
+    @property
+    def carried(self) -> int:
+        """Return how many bytes have passed."""
+        return self._carried
+
+    async def carry(self, size: int) -> None:
+        """Return once `size` bytes have passed."""
+        self._carried += size
+        if self._rate is None:
+            return
+        left = size
+        while left > 0:
+            turn = min(left, TURN_BYTES)
+            left -= turn
+            now = self._clock.monotonic()
+            begins = max(now, self._free_at)
+            self._free_at = begins + timedelta(seconds=turn / self._rate)
+            await self._clock.sleep(self._free_at - now)
+
+
+__all__ = ["NarrowLink"]
--- a/src/brasstray_standins/pool_system.py
+++ b/src/brasstray_standins/pool_system.py
@@ -42,6 +42,7 @@
 CONFIG_KEY = "config"
 TICK = timedelta(milliseconds=1)
 STRONG_POWER = 4.0
+STRONG_LINK = 8.0
 USUAL_NEEDS = Resources(6_800, 64)
 USUAL_DURATION = timedelta(milliseconds=60)
 
@@ -50,7 +51,9 @@
 class PoolSystemSize:
     """Say how much there is of everything.
 
-    The first `strong_each` hosts of each data centre are four times as strong.
+    The first `strong_each` hosts of each data centre are four times as strong, with
+    links eight times as fast. `link_rate` is how many bytes a second the link of any
+    other host carries each way.
     """
 
     data_centres: int = 2
@@ -58,6 +61,7 @@
     minions_each: int = 4
     strong_each: int = 0
     capacity: Resources = Resources(16_000, 32_768)
+    link_rate: float | None = None
 
 
 class _StoreConfig:
@@ -153,7 +157,7 @@
         self.clock = LoopClock()
         self.random = Random(self.seed)
         self.store = MemoryStore(self.clock)
-        self.network = Network()
+        self.network = Network(self.clock, self._link_rate)
         self.book = RunBook(Work(USUAL_NEEDS, USUAL_DURATION))
         self.places: dict[MinionId, LeasedMinion] = {}
         self.listed: list[MinionEntry] = []
@@ -190,9 +194,10 @@
             for entry in self.listed
         ]
 
-    def set_config(self, version: int) -> None:
-        """Write a configuration, as the operator does."""
-        self.store.put(CONFIG_KEY, json.dumps({"version": version}).encode())
+    def set_config(self, version: int, size: int = 0) -> None:
+        """Write a configuration of `size` bytes or a few more, as the operator does."""
+        text = json.dumps({"version": version, "routes": "r" * size})
+        self.store.put(CONFIG_KEY, text.encode())
 
     def start_all(self) -> None:
         """Start every host."""
@@ -204,7 +209,7 @@
         """Start a process on the host called `name`."""
         gate = Gate()
         clock = GatedClock(self.clock, gate)
-        view = StoreView(self.store, name, clock)
+        view = StoreView(self.store, name, clock, self.network.link_to(name))
         calls = LeasedMinions(self.places, clock, self.group, gate)
         identity = HostIdentity(
             HostName(name),
@@ -234,8 +239,16 @@
         return running
 
     def _power(self, name: str) -> float:
-        number = int(name.rpartition("-h")[2])
-        return STRONG_POWER if number < self.size.strong_each else 1.0
+        return STRONG_POWER if self._is_strong(name) else 1.0
+
+    def _link_rate(self, name: str) -> float | None:
+        rate = self.size.link_rate
+        if rate is None or not self._is_strong(name):
+            return rate
+        return rate * STRONG_LINK
+
+    def _is_strong(self, name: str) -> bool:
+        return int(name.rpartition("-h")[2]) < self.size.strong_each
 
     async def _run(self, host: PoolHost, scope: anyio.CancelScope) -> None:
         with scope:
--- /dev/null
+++ b/tests/host/test_large_configuration.py
@@ -0,0 +1,86 @@
+"""Check that a large configuration comes into force while hosts go on serving."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+from tests.host.load import under_load
+
+from brasstray.batch.outcome import BatchOutcome
+from brasstray_standins.pool_system import PoolSystemSize
+
+SECOND = timedelta(seconds=1)
+# Bytes a second of the slowest links of a fleet.
+NARROW = 12.5e6 / 8
+# 930, 1,440 and 2,740 routes as operators write them, in bytes.
+LARGE, LARGER, LARGEST = 164_000, 254_000, 484_000
+# What a job of the load takes at the most where nothing is wrong, twice over.
+USUAL_TIME = SECOND / 4
+# Within which a change must be in force everywhere.
+IN_FORCE_AFTER = 2 * SECOND
+# What heartbeats, jobs and ends take in the two seconds of the story, in bytes.
+OTHER_TRAFFIC = 600_000
+
+
+def nobody(system):
+    return set()
+
+
+def a_third(system):
+    return {name for name in system.hosts if int(name.rpartition("-h")[2]) % 3 == 2}
+
+
+def owners(system):
+    return {system.owner(number) for number in range(len(system.centres))}
+
+
+def tokens(system):
+    entries = system.store.entries("brasstray/pools/")
+    return {entry.name: entry.version for entry in entries}
+
+
+def versions(system):
+    return {int(running.host.config.version) for running in system.hosts.values()}
+
+
+def sent(system):
+    return sum(system.network.link_from(name).carried for name in system.hosts)
+
+
+@pytest.mark.parametrize("turned_away", [nobody, a_third, owners])
+@pytest.mark.parametrize("size", [LARGE, LARGER, LARGEST])
+def test_a_large_configuration_does_not_part_owners_from_hosts(
+    play_pools, turned_away, size
+):
+    # Seen: from the moment at which the configuration grew by 888 routes, hosts took
+    # owners for lost, pools changed hands every second, and few callers were served for
+    # the rest of the day. Owners and hosts told one another the whole text with each
+    # heartbeat that still named an older version, the heartbeats behind the texts came
+    # too late, and each new owner and each new link began with the text again.
+    # Proved by: the store has the change, and serves all hosts, or turns some away.
+    fleet = PoolSystemSize(3, 12, 8, link_rate=NARROW)
+
+    async def story(system):
+        before = tokens(system)
+        away = turned_away(system)
+        found = {}
+
+        async def strike():
+            system.store.cut |= away
+            system.set_config(2, size)
+            already = sent(system)
+            await system.clock.sleep(IN_FORCE_AFTER)
+            found.update(versions=versions(system), sent=sent(system) - already)
+
+        load = await under_load(system, strike, jobs=150)
+        return load, before, tokens(system), found, len(away)
+
+    (load, before, after, found, away), system = play_pools(story, fleet)
+    assert found["versions"] == {2}
+    # One text to each host that cannot read it from the store, and none to others.
+    assert found["sent"] <= away * size * 1.1 + OTHER_TRAFFIC
+    assert after == before
+    assert load.outcomes() == [BatchOutcome.SUCCEEDED] * 150
+    assert max(took for _, _, took in load.results.values()) < USUAL_TIME
+    assert system.book.broken == []
