Show that a large value never arrives over a slow link, with a test that fails

Cause, from a small twin with links of 2 Mbit/s: from the large configuration on, hosts log store_lost for it with no answer, again and again; the store's answer of 218 KB takes 0.9 s there and is broken off after 0.8.

--- /dev/null
+++ b/tests/http/test_slow_response.py
@@ -0,0 +1,83 @@
+"""Check how long a call waits for a response that comes slowly."""
+
+from __future__ import annotations
+
+import asyncio
+from datetime import timedelta
+
+import pytest
+
+from brasstray.http.client_connection import ClientConnection
+
+PATIENCE = timedelta(milliseconds=800)
+HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\n"
+BODY = b"r" * 1000
+
+
+class VirtualLoop(asyncio.SelectorEventLoop):
+    """Jump to the next timer whenever nothing else is to be done."""
+
+    def __init__(self):
+        super().__init__()
+        self._now = 0.0
+        select = self._selector.select
+
+        def jump(timeout=None):
+            self._now += timeout or 0
+            return select(0)
+
+        self._selector.select = jump
+
+    def time(self):
+        return self._now
+
+
+class Wire:
+    """Take what is written, and drop the connection."""
+
+    def write(self, data):
+        pass
+
+    def abort(self):
+        pass
+
+
+def took(parts, gap):
+    """Return how long a call took, and its body or None; a part comes each `gap`."""
+
+    async def whole():
+        loop = asyncio.get_running_loop()
+        connection = ClientConnection()
+        connection._transport = Wire()
+        for number, part in enumerate(parts, start=1):
+            loop.call_later(gap * number, connection.data_received, part)
+        began = loop.time()
+        try:
+            reply = await connection.call(b"GET", PATIENCE)
+        except TimeoutError:
+            return loop.time() - began, None
+        return loop.time() - began, reply.content
+
+    with asyncio.Runner(loop_factory=VirtualLoop) as runner:
+        return runner.run(whole())
+
+
+@pytest.mark.parametrize(
+    ("parts", "gap", "seconds", "body"),
+    [
+        ([HEAD + BODY], 0.1, 0.1, BODY),
+        ([HEAD, *(BODY[:100] for _ in range(10))], 0.1, 1.1, BODY),
+        ([HEAD, BODY[:500]], 0.5, 1.8, None),
+        ([], 0.5, 0.8, None),
+        ([HEAD, *(b"r" for _ in range(100))], 0.5, 8.0, None),
+    ],
+    ids=["at once", "slow", "broken off", "silent", "drips"],
+)
+def test_a_response_is_waited_for_while_it_comes(parts, gap, seconds, body):
+    # Seen: after the configuration had grown, no host with a slow link got it from the
+    # store any more, and nearly no caller was served again. 218 KB took 0.9 s, the call
+    # was broken off after 0.8 s and made again, and the reads filled the links.
+    # Proved by: parts of a response that follow one another within the patience.
+    waited, found = took(parts, gap)
+    assert waited == pytest.approx(seconds)
+    assert found == body
