Say from what leases are taken for over, which runs a new owner finds, and how it settles

Now `lease_over` tells the latest lease that was reckoned with, the minion's clock as last shown, and whether this owner had asked for a lease there; `run_found` each run of an earlier owner; `pool_settled` what became of the tasks it had. A few lines a takeover, none in calm operation.

--- a/src/brasstray/host/event_log.py
+++ b/src/brasstray/host/event_log.py
@@ -17,8 +17,10 @@
     from brasstray.job.ids import HostName
     from brasstray.metrics.pool_metrics import PoolMetrics
     from brasstray.pool.errors import StartRefusal
+    from brasstray.pool.lease_reckoning import LeaseReckoning
     from brasstray.pool.minion import Minion
     from brasstray.pool.minion_health import Evidence
+    from brasstray.pool.pool_task import TaskPhase
     from brasstray.pool.run_record import RunRecord
     from brasstray.pool.step_tasks import StepTasks
 
@@ -110,6 +112,46 @@
             **_run_fields(minion, record),
         )
 
+    def run_found(
+        self, minion: Minion, record: RunRecord, phase: TaskPhase | None
+    ) -> None:
+        """A run is seen that this owner did not start."""
+        log_message(
+            "brasstray:run_found",
+            **_run_fields(minion, record),
+            phase=phase.value if phase else None,
+        )
+
+    def lease_over(
+        self, minion: Minion, reckoning: LeaseReckoning, *, certain: bool
+    ) -> None:
+        """All runs on a minion out of reach have ended."""
+        self._metrics.count_reason("lease_over" if certain else "lease_in_doubt")
+        log_message(
+            "brasstray:lease_over",
+            minion=minion.entry.id,
+            reach=minion.reach.value,
+            runs=len(minion.runs),
+            certain=certain,
+            asked=reckoning.asked,
+            until_ms=reckoning.until_ms,
+            clock_ms=reckoning.clock_ms,
+            shown_ago_ms=reckoning.shown_ago // _MILLISECOND,
+        )
+
+    def settled(
+        self, pool: PoolId, minions: int, unreached: int, queued: int, given_up: int
+    ) -> None:
+        """An owner knows what its minions run, or waits no longer to learn it."""
+        log_message(
+            "brasstray:pool_settled",
+            pool=pool,
+            minions=minions,
+            unreached=unreached,
+            queued=queued,
+            given_up=given_up,
+        )
+
     def suspected(self, minion: Minion, why: Evidence) -> None:
         """A minion gets no tasks for a while."""
         self._metrics.count_reason(f"suspected_{why.value}")
--- a/src/brasstray/pool/lease_clock.py
+++ b/src/brasstray/pool/lease_clock.py
@@ -5,6 +5,8 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from brasstray.pool.lease_reckoning import LeaseReckoning
+
 if TYPE_CHECKING:
     from brasstray.pool.timing import PoolTiming
 
@@ -27,6 +29,7 @@
         self._shown_ms: int | None = None
         self._shown_at = timedelta()
         self._latest_until_ms = 0
+        self._asked = False
         self._unanswered_at: timedelta | None = None
         self._late_until = timedelta()
 
@@ -61,6 +64,7 @@
         passed = (now - self._shown_at + self._timing.lease) // _MILLISECOND
         until = self._shown_ms + passed
         self._latest_until_ms = max(self._latest_until_ms, until)
+        self._asked = True
         return until
 
     def lapse_wait(self, now: timedelta) -> timedelta:
@@ -71,5 +75,12 @@
         slowest = 1 - self._timing.clock_rate_error
         return max(timedelta(0), left / slowest - (now - self._shown_at))
 
+    def reckoning(self, now: timedelta) -> LeaseReckoning:
+        """Return what is known of the leases at `now`."""
+        if self._shown_ms is None:
+            return LeaseReckoning(self._asked, None, None, timedelta(0))
+        ago = now - self._shown_at
+        return LeaseReckoning(self._asked, self._latest_until_ms, self._shown_ms, ago)
+
 
 __all__ = ["LeaseClock"]
--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -172,8 +172,12 @@
             left = self._lease.lapse_wait(self._clock.monotonic())
             if left <= _NO_WAIT and not lapsed:
                 lapsed = True
-                may_live = self._lease.may_be_extended(self._clock.monotonic())
-                await self._owner.lapse_minion(self._minion, may_live=may_live)
+                now = self._clock.monotonic()
+                await self._owner.lapse_minion(
+                    self._minion,
+                    self._lease.reckoning(now),
+                    may_live=self._lease.may_be_extended(now),
+                )
             try:
                 if lapsed or self._minion.reach is Reach.NEW:
                     await self._look_in_turn()
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -33,6 +33,7 @@
     from brasstray.clock.clock import Clock
     from brasstray.peer.message.run_tasks import RunTasks
     from brasstray.pool.errors import StartRefusal
+    from brasstray.pool.lease_reckoning import LeaseReckoning
     from brasstray.pool.look import ActiveRun, EndedRun
     from brasstray.pool.minion import Minion
     from brasstray.pool.minion_calls import MinionCalls
@@ -195,25 +196,37 @@
                 break
             await self._clock.sleep(5 * _MILLISECOND)
         self._settled = True
-        for step in self._book.steps:
-            for task in list(step.tasks.values()):
-                if task.phase is TaskPhase.CLAIMED:
-                    self._settle_claim(task)
+        self._settle_claims()
         self.dispatch()
         await self._clock.sleep(self._timing.orphan_patience)
         self._stop_unclaimed()
 
-    def _settle_claim(self, task: PoolTask) -> None:
+    def _settle_claims(self) -> None:
+        claimed = [
+            task
+            for step in self._book.steps
+            for task in step.tasks.values()
+            if task.phase is TaskPhase.CLAIMED
+        ]
+        queued = sum(self._settle_claim(task) for task in claimed)
+        unreached = sum(minion.reach is Reach.NEW for minion in self.minions)
+        given_up = len(claimed) - queued
+        self._events.settled(self._pool, len(self.minions), unreached, queued, given_up)
+
+    def _settle_claim(self, task: PoolTask) -> bool:
         """Queue a claimed task that is known to run nowhere; else give it back.
 
+        Return whether it was queued.
+
         Guards against a second run beside one that goes on where this owner does not
         reach and an earlier one may: nobody can tell, so the job is given up. Without
         the last owner's list of minions nobody can tell either.
         """
         if self._inherited is not None and self._all_reached:
             self._book.queue(task)
-        else:
-            self._book.give_up(task)
+            return True
+        self._book.give_up(task)
+        return False
 
     @property
     def _all_reached(self) -> bool:
@@ -430,7 +443,9 @@
         self._events.reach_changed(minion)
         self.dispatch()
 
-    async def lapse_minion(self, minion: Minion, *, may_live: bool) -> None:
+    async def lapse_minion(
+        self, minion: Minion, reckoning: LeaseReckoning, *, may_live: bool
+    ) -> None:
         """Take note that every lease that this owner gave to `minion` is over.
 
         With `may_live` an order that is held up may have extended one all the same.
@@ -439,8 +454,11 @@
         after the lapse, that nobody has taken the pool, their tasks are not started
         elsewhere but given back as in doubt.
         """
-        if minion.runs and (may_live or not await self._confirm()):
-            self._runs.give_up_all(minion)
+        if minion.runs:
+            certain = not may_live and await self._confirm()
+            self._events.lease_over(minion, reckoning, certain=certain)
+            if not certain:
+                self._runs.give_up_all(minion)
         self.lose_minion(minion, gone=False)
 
     def lose_minion(self, minion: Minion, *, gone: bool) -> None:
--- a/src/brasstray/pool/owner_events.py
+++ b/src/brasstray/pool/owner_events.py
@@ -7,10 +7,13 @@
 if TYPE_CHECKING:
     from datetime import timedelta
 
+    from brasstray.batch.ids import PoolId
     from brasstray.pool.errors import StartRefusal
+    from brasstray.pool.lease_reckoning import LeaseReckoning
     from brasstray.pool.look import RunEnd
     from brasstray.pool.minion import Minion
     from brasstray.pool.minion_health import Evidence
+    from brasstray.pool.pool_task import TaskPhase
     from brasstray.pool.run_record import RunRecord
     from brasstray.pool.step_tasks import StepTasks
 
@@ -30,6 +33,31 @@
     def unanswered(self, minion: Minion, record: RunRecord) -> None:
         """A start had no response."""
 
+    def run_found(
+        self, minion: Minion, record: RunRecord, phase: TaskPhase | None
+    ) -> None:
+        """A run is seen that this owner did not start.
+
+        `phase` is where its task was until then; None if nobody asks for it.
+        """
+
+    def lease_over(
+        self, minion: Minion, reckoning: LeaseReckoning, *, certain: bool
+    ) -> None:
+        """All runs on a minion out of reach have ended.
+
+        Unless that is `certain`, their tasks are given back as in doubt.
+        """
+
+    def settled(
+        self, pool: PoolId, minions: int, unreached: int, queued: int, given_up: int
+    ) -> None:
+        """An owner knows what its minions run, or waits no longer to learn it.
+
+        Of the tasks that an earlier owner had, so many run nowhere and are queued, and
+        so many are given back as in doubt.
+        """
+
     def suspected(self, minion: Minion, why: Evidence) -> None:
         """A minion gets no tasks for a while."""
 
--- a/src/brasstray/pool/run_tracker.py
+++ b/src/brasstray/pool/run_tracker.py
@@ -99,6 +99,7 @@
         )
         minion.add(record)
         task = self._book.find(run.task)
+        self._events.run_found(minion, record, task.phase if task else None)
         if task is not None and task.phase is TaskPhase.CLAIMED:
             minion.adopt(record, task)
         elif self._settled():
