Reckon with the lease that an earlier owner may have given

Symptom: two runs of one task, the second 0.1 to 0.4 s after a pool has changed hands while answers are lost. Cause: the clock of leases began with "until 0". After one answered look and before the first look that asks for a lease, every lease counted as over, though the run lived under the earlier owner's, up to the longest that minions grant (1 s). A look without an answer in between was enough: the store confirmed the ownership, the task was queued, and started beside its run.

Now the first answer counts as the moment at which the longest lease may have been given: with it the minion has seen the new token, so that nobody else extends a lease after it.

Ruled out: a late order of the earlier owner (fenced with that answer), the store's confirmation (right in every trace), numbers of runs.

--- a/src/brasstray/daemon/pool_daemon.py
+++ b/src/brasstray/daemon/pool_daemon.py
@@ -205,6 +205,7 @@
     millisecond = timedelta(milliseconds=1)
     return PoolTiming(
         lease=minions.lease_ms * millisecond * LEASE_SHARE,
+        longest_lease=minions.lease_ms * millisecond,
         stop_time=minions.stop_ms * millisecond * STOP_MARGIN,
     )
 
--- a/src/brasstray/pool/lease_clock.py
+++ b/src/brasstray/pool/lease_clock.py
@@ -20,8 +20,8 @@
     """Reckon one minion's steady clock and the latest lease it may hold.
 
     The clock was read somewhere between a call's sending and its response, and may run
-    slow. So `surely` counts from the response at the slowest rate: a lease has ended
-    for sure only when that has passed it.
+    slow. So time counts from the response at the slowest rate: a lease has ended for
+    sure only when that has passed it.
     """
 
     def __init__(self, timing: PoolTiming) -> None:
@@ -38,6 +38,15 @@
 
         `sent` is when the call was sent.
         """
+        if self._shown_ms is None:
+            # Guards against a second run beside one that an earlier owner started: it
+            # lives under a lease that this owner knows nothing of, and was started
+            # elsewhere some 0.1 s after the pool had changed hands. With the response
+            # the minion has seen our token, so that no earlier owner extends a lease
+            # any more, and none that it gave can be longer than what minions grant.
+            self._latest_until_ms = (
+                clock_ms + self._timing.longest_lease // _MILLISECOND
+            )
         self._shown_ms = clock_ms
         self._shown_at = received
         if self._unanswered_at is not None and sent > self._unanswered_at:
@@ -68,9 +77,13 @@
         return until
 
     def lapse_wait(self, now: timedelta) -> timedelta:
-        """Return how long until every lease asked for has ended for sure."""
+        """Return how long until every lease has ended for sure, whoever asked for it.
+
+        Before the minion has answered that cannot be told: earlier owners may go on
+        extending its leases.
+        """
         if self._shown_ms is None:
-            return self._timing.lease * (1 + self._timing.clock_rate_error)
+            return self._timing.longest_lease
         left = (self._latest_until_ms - self._shown_ms) * _MILLISECOND
         slowest = 1 - self._timing.clock_rate_error
         return max(timedelta(0), left / slowest - (now - self._shown_at))
--- a/src/brasstray/pool/timing.py
+++ b/src/brasstray/pool/timing.py
@@ -16,6 +16,8 @@
 
     - `lease`: how far ahead a hold extends the life of runs. Under the platform's bound
       of 1 s, and long enough for a takeover.
+    - `longest_lease`: the longest that minions grant, whoever asks; what an owner takes
+      to hold where it does not know what another has asked for.
     - `clock_rate_error`: how much slower than ours a minion's clock may run.
     - `hold_wait`, `idle_hold_wait`: how long a hold waits for an end, with and without
       runs; also how soon a minion that has died is found out. An end answers a hold at
@@ -36,6 +38,7 @@
     """
 
     lease: timedelta = _ms(800)
+    longest_lease: timedelta = _ms(1_000)
     clock_rate_error: float = 0.02
     hold_wait: timedelta = _ms(200)
     idle_hold_wait: timedelta = _ms(400)
--- a/tests/daemon/test_pool_timing.py
+++ b/tests/daemon/test_pool_timing.py
@@ -18,6 +18,7 @@
 def test_lease_and_stop_time_come_from_the_settings(lease_ms, stop_ms, lease, stop):
     timing = pool_timing(MinionsSection(lease_ms=lease_ms, stop_ms=stop_ms))
     assert timing.lease == timedelta(milliseconds=lease)
+    assert timing.longest_lease == timedelta(milliseconds=lease_ms)
     assert timing.stop_time == timedelta(milliseconds=stop)
 
 
