Wait after a takeover until what was being stopped has ended

Symptom: a second run of a task beside one that is being stopped, and a minion over its capacity, both for up to 50 ms after a pool has changed hands. Cause: a run that is being stopped is not told as active, and its end not before it has ended; the new owner took a task that no look told for one that runs nowhere.

Now nothing starts on a minion, and no claimed task is taken for nowhere, until the time of a stop (60 ms) after the minion's first answer under the new token: nobody can have had anything stopped there since, but the new owner. The patience with minions out of reach and the time after which unclaimed runs are stopped count as before, so that the inequality of silences stays: only a settled owner may come up to 60 ms later.

--- a/src/brasstray/pool/lease_clock.py
+++ b/src/brasstray/pool/lease_clock.py
@@ -33,6 +33,11 @@
         self._unanswered_at: timedelta | None = None
         self._late_until = timedelta()
 
+    @property
+    def shown(self) -> bool:
+        """Tell whether the minion has answered a call."""
+        return self._shown_ms is not None
+
     def show(self, clock_ms: int, sent: timedelta, received: timedelta) -> None:
         """Note that the response to a call, received at `received`, showed `clock_ms`.
 
--- a/src/brasstray/pool/minion.py
+++ b/src/brasstray/pool/minion.py
@@ -48,12 +48,33 @@
     def __init__(self, entry: MinionEntry) -> None:
         self.entry = entry
         self.reach = Reach.NEW
+        self._clear_from: timedelta | None = None
         self.health = MinionHealth()
         self.runs: dict[tuple[TaskName, RunNumber], RunRecord] = {}
         self._used = Resources()
         self._unsized = 0
         self._gone: deque[tuple[TaskName, RunNumber]] = deque(maxlen=ENDS_REMEMBERED)
 
+    def fence(self, clear_from: timedelta) -> None:
+        """Take note that the minion has seen the token of its owner.
+
+        What an earlier owner was having stopped then is over at `clear_from`.
+        """
+        self._clear_from = clear_from
+
+    def is_known(self, now: timedelta) -> bool:
+        """Tell whether everything that may be at work here is known at `now`.
+
+        Guards against a run that was being stopped when the pool changed hands: it is
+        not told as active any more, and its end only once it has ended. Its task was
+        started elsewhere beside it, and others in its room.
+        """
+        if self.reach is Reach.GONE:
+            return True
+        if self.reach is Reach.NEW or self._clear_from is None:
+            return False
+        return now >= self._clear_from
+
     @property
     def room(self) -> Resources:
         """Return what is free."""
@@ -127,6 +148,8 @@
         """Tell whether a new task may start here at `now`."""
         if self.reach is not Reach.HELD or self.entry.draining or self.has_unsized:
             return False
+        if not self.is_known(now):
+            return False
         most = self.health.most_runs(now)
         return most is None or len(self.runs) < most
 
--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -220,7 +220,10 @@
             if lease:
                 self._lease.miss(sent)
             raise
-        self._lease.show(look.clock_ms, sent, self._clock.monotonic())
+        received = self._clock.monotonic()
+        if not self._lease.shown:
+            self._minion.fence(received + self._timing.stop_time)
+        self._lease.show(look.clock_ms, sent, received)
         # Ends are acknowledged by the next look only, after the owner has told them to
         # whoever asked for the tasks: what it has not told, its successor must see.
         fresh = tuple(e for e in look.ended if e.number > self._acknowledged)
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -191,14 +191,16 @@
         """Wait until every minion has told what it runs, or had time to."""
         await self._listed.wait()
         deadline = self._clock.monotonic() + self._timing.settle_patience
-        while self._clock.monotonic() < deadline:
-            if self._all_reached:
+        while not self._all_known:
+            if self._clock.monotonic() >= deadline and not self._all_reached:
                 break
             await self._clock.sleep(5 * _MILLISECOND)
+        waited_until = min(self._clock.monotonic(), deadline)
         self._settled = True
         self._settle_claims()
         self.dispatch()
-        await self._clock.sleep(self._timing.orphan_patience)
+        orphans_until = waited_until + self._timing.orphan_patience
+        await self._clock.sleep(orphans_until - self._clock.monotonic())
         self._stop_unclaimed()
 
     def _settle_claims(self) -> None:
@@ -222,7 +224,7 @@
         reach and an earlier one may: nobody can tell, so the job is given up. Without
         the last owner's list of minions nobody can tell either.
         """
-        if self._inherited is not None and self._all_reached:
+        if self._inherited is not None and self._all_known:
             self._book.queue(task)
             return True
         self._book.give_up(task)
@@ -233,6 +235,12 @@
         """Tell whether every minion has been asked under this owner's token."""
         return all(minion.reach is not Reach.NEW for minion in self.minions)
 
+    @property
+    def _all_known(self) -> bool:
+        """Tell whether everything that may be at work on the minions is known."""
+        now = self._clock.monotonic()
+        return all(minion.is_known(now) for minion in self.minions)
+
     def _stop_unclaimed(self) -> None:
         for session in self._roster.sessions:
             for record in list(session.minion.runs.values()):
