Let a run that is found while its task waits become the run of the task

Symptom: a second run of a task beside one that had been taken for ended, found again and was being stopped. Cause: only claimed tasks took a run that was found; the run of one that waits was stopped, which takes 50 ms, and the task stayed in the queue meanwhile.

Now the task leaves the queue and what it has already done is kept. A task that has another run keeps that, and the one found is stopped as before.

--- a/src/brasstray/pool/minion.py
+++ b/src/brasstray/pool/minion.py
@@ -111,7 +111,7 @@
         record.task = task
         self.resize(record, task.of.needs)
         task.phase = TaskPhase.PLACED
-        task.last_run = record.run
+        task.last_run = max(task.last_run, record.run)
         task.of.begun = True
 
     def has_ended(self, name: TaskName, run: RunNumber) -> bool:
--- a/src/brasstray/pool/run_tracker.py
+++ b/src/brasstray/pool/run_tracker.py
@@ -86,7 +86,12 @@
             self._take_unknown(minion, run)
 
     def _take_unknown(self, minion: Minion, run: ActiveRun) -> None:
-        """Take a run that an earlier owner started; stop it if nobody can claim it."""
+        """Take a run that this owner did not start, or took for ended.
+
+        It becomes the run of its task unless that has another; if nobody can claim it,
+        it is stopped. Guards against a second run beside it: a task that waits would
+        start elsewhere while what was found is still being stopped.
+        """
         record = RunRecord(
             run.task,
             run.run,
@@ -100,7 +105,8 @@
         minion.add(record)
         task = self._book.find(run.task)
         self._events.run_found(minion, record, task.phase if task else None)
-        if task is not None and task.phase is TaskPhase.CLAIMED:
+        if task is not None and task.phase is not TaskPhase.PLACED:
+            self._book.unqueue(task)
             minion.adopt(record, task)
         elif self._settled():
             self._stop(minion, record)
--- a/src/brasstray/pool/task_book.py
+++ b/src/brasstray/pool/task_book.py
@@ -74,6 +74,11 @@
         task.phase = TaskPhase.WAITING
         task.of.waiting.append(task)
 
+    def unqueue(self, task: PoolTask) -> None:
+        """Let `task` wait for a start no more, if it does."""
+        if task.phase is TaskPhase.WAITING:
+            task.of.waiting.remove(task)
+
     def finish(self, task: PoolTask, *, done: bool) -> None:
         """Tell the requester how `task` ended, and forget it."""
         step = task.of
