Look again at a minion that answers while the store is asked about its runs

Symptom: runs taken for ended, and started elsewhere, although their minion has answered since. Cause: whether a held-up extension of leases may still come was decided before the store was asked whether the pool is still ours; the store takes as long as it likes, and other calls to the same minion go on. Now the answers are counted over that time, and the minion is looked at instead.

--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -76,6 +76,7 @@
         self._scope = anyio.CancelScope()
         self._unanswered_at: timedelta | None = None
         self._newest_look_ms = 0
+        self._answers = 0
         self._unsettled: set[tuple[TaskName, RunNumber]] = set()
 
     @property
@@ -171,13 +172,7 @@
         while True:
             left = self._lease.lapse_wait(self._clock.monotonic())
             if left <= _NO_WAIT and not lapsed:
-                lapsed = True
-                now = self._clock.monotonic()
-                await self._owner.lapse_minion(
-                    self._minion,
-                    self._lease.reckoning(now),
-                    may_live=self._lease.may_be_extended(now),
-                )
+                lapsed = await self._lapse()
             try:
                 if lapsed or self._minion.reach is Reach.NEW:
                     await self._look_in_turn()
@@ -193,6 +188,22 @@
                 continue
             return
 
+    async def _lapse(self) -> bool:
+        """Take the runs of the minion for ended; return whether that was done.
+
+        Guards against a minion that comes back while the store is asked: another call
+        was answered, and what runs there is told by the next look.
+        """
+        answers = self._answers
+        reckoning = self._lease.reckoning(self._clock.monotonic())
+        confirmed = not self._minion.runs or await self._owner.confirm()
+        if self._answers != answers:
+            return False
+        may_live = self._lease.may_be_extended(self._clock.monotonic())
+        certain = confirmed and not may_live
+        self._owner.lapse_minion(self._minion, reckoning, certain=certain)
+        return True
+
     async def _look_in_turn(self) -> None:
         """Ask a minion with which nothing is under way, when few others are asked."""
         async with self._first_calls:
@@ -220,6 +231,7 @@
             if lease:
                 self._lease.miss(sent)
             raise
+        self._answers += 1
         received = self._clock.monotonic()
         if not self._lease.shown:
             self._minion.fence(received + self._timing.stop_time)
@@ -274,6 +286,7 @@
         except FencedError:
             self._owner.depose()
         else:
+            self._answers += 1
             self._lease.show(shown, sent, self._clock.monotonic())
             if record.state is RunState.STARTING:
                 record.state = RunState.ACTIVE
@@ -331,6 +344,7 @@
     async def _call_stop(self, name: TaskName, run: RunNumber) -> None:
         patience = self._timing.call_patience + self._lag.allowance
         await self._calls.stop(self._minion.entry, self._token, name, run, patience)
+        self._answers += 1
 
 
 __all__ = ["MinionSession"]
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -451,19 +451,23 @@
         self._events.reach_changed(minion)
         self.dispatch()
 
-    async def lapse_minion(
-        self, minion: Minion, reckoning: LeaseReckoning, *, may_live: bool
-    ) -> None:
-        """Take note that every lease that this owner gave to `minion` is over.
+    async def confirm(self) -> bool:
+        """Tell whether the store says that this owner still has the pool.
 
-        With `may_live` an order that is held up may have extended one all the same.
         Guards against a successor that this owner has not heard of: it may have reached
-        the minion and extended the lease of the runs there. Unless the store confirms,
-        after the lapse, that nobody has taken the pool, their tasks are not started
-        elsewhere but given back as in doubt.
+        a minion that is silent here, and extended the lease of the runs there.
+        """
+        return await self._confirm()
+
+    def lapse_minion(
+        self, minion: Minion, reckoning: LeaseReckoning, *, certain: bool
+    ) -> None:
+        """Take note that every lease on `minion` is over.
+
+        Unless that is `certain`, the tasks there are not started elsewhere but given
+        back as in doubt.
         """
         if minion.runs:
-            certain = not may_live and await self._confirm()
             self._events.lease_over(minion, reckoning, certain=certain)
             if not certain:
                 self._runs.give_up_all(minion)
