Keep a minion that is missing from the list until its leases are over

Symptom: a second run of a task whose minion has long been missing from the list and goes out of reach only then. Cause: whoever was missing for over 3 s and not in reach was taken for gone, with runs whose lease goes on for up to 0.8 s. Now a minion is forgotten once it has no run: one out of reach has none when its leases are over. Test: one second run before, none after.

--- a/src/brasstray/pool/roster.py
+++ b/src/brasstray/pool/roster.py
@@ -82,7 +82,10 @@
 
     def _remove(self, minion_id: MinionId) -> None:
         session = self._sessions[minion_id]
-        if session.minion.runs and session.minion.reach is Reach.HELD:
+        # Guards against a second run beside one whose lease goes on: a minion in reach
+        # lives whatever the list says, and one out of reach has no runs here any more
+        # once its leases are over.
+        if session.minion.runs and session.minion.reach is not Reach.GONE:
             return
         self._lose(session.minion)
         session.end()
