--- a/src/brasstray/pool/minion.py
+++ b/src/brasstray/pool/minion.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections import deque
+from datetime import timedelta
 from enum import Enum
 from typing import TYPE_CHECKING
 
@@ -11,8 +12,6 @@
 from brasstray.pool.pool_task import TaskPhase
 
 if TYPE_CHECKING:
-    from datetime import timedelta
-
     from brasstray.batch.ids import RunNumber
     from brasstray.batch.task_name import TaskName
     from brasstray.pool.minion_entry import MinionEntry
@@ -48,7 +47,7 @@
     def __init__(self, entry: MinionEntry) -> None:
         self.entry = entry
         self.reach = Reach.NEW
-        self._clear_from: timedelta | None = None
+        self._clear_from = timedelta(0)
         self.health = MinionHealth()
         self.runs: dict[tuple[TaskName, RunNumber], RunRecord] = {}
         self._used = Resources()
@@ -71,9 +70,7 @@
         """
         if self.reach is Reach.GONE:
             return True
-        if self.reach is Reach.NEW or self._clear_from is None:
-            return False
-        return now >= self._clear_from
+        return self.reach is not Reach.NEW and now >= self._clear_from
 
     @property
     def room(self) -> Resources:
