Stop what nobody claims in time, whether or not the list of minions can be read

Symptom: runs of a host that has died go on for as long as its successor cannot read the list of minions, beyond the moment at which the caller's program has sent the job again. Cause: both clocks, for settling and for unclaimed runs, began with the first list.

Besides, an end of one run queues a claimed task no more: a later run may go on where the new owner has not looked yet. That line could not be reached any more, as a settled owner holds no claimed task.

--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -90,7 +90,7 @@
             self._durations,
             clock,
             events,
-            lambda: self._settled,
+            lambda: self.settled or self._claims_over,
             lambda minion, record: self._roster.session(minion.entry.id).stop(record),
         )
         self._sharing = LoadSharing(
@@ -100,7 +100,8 @@
         self._first_calls = anyio.Semaphore(FIRST_CALLS_AT_ONCE)
         self._group: TaskGroup | None = None
         self._listed = anyio.Event()
-        self._settled = False
+        self._settled = anyio.Event()
+        self._claims_over = False
         self._deposed = anyio.Event()
         self._wake = anyio.Event()
         self._changed = anyio.Event()
@@ -126,7 +127,7 @@
     @property
     def settled(self) -> bool:
         """Tell whether it is known what the minions run."""
-        return self._settled
+        return self._settled.is_set()
 
     @property
     def deposed(self) -> bool:
@@ -144,6 +145,7 @@
             self._group = group
             self._roster.inherit(self._inherited or ())
             group.start_soon(self._settle)
+            group.start_soon(self._stop_unclaimed_in_time)
             group.start_soon(self._watch_time)
             group.start_soon(self._dispatch_when_woken)
             try:
@@ -195,12 +197,20 @@
             if self._clock.monotonic() >= deadline and not self._all_reached:
                 break
             await self._clock.sleep(5 * _MILLISECOND)
-        waited_until = min(self._clock.monotonic(), deadline)
-        self._settled = True
+        self._settled.set()
         self._settle_claims()
         self.dispatch()
-        orphans_until = waited_until + self._timing.orphan_patience
-        await self._clock.sleep(orphans_until - self._clock.monotonic())
+
+    async def _stop_unclaimed_in_time(self) -> None:
+        """Stop the runs of an earlier owner that nobody claims.
+
+        Guards against a run beside the same job sent again to another data centre: its
+        time counts from the takeover, whether or not the list of minions can be read.
+        """
+        with anyio.move_on_after(self._timing.settle_patience.total_seconds()):
+            await self._settled.wait()
+        await self._clock.sleep(self._timing.orphan_patience)
+        self._claims_over = True
         self._stop_unclaimed()
 
     def _settle_claims(self) -> None:
@@ -284,7 +294,7 @@
             minion.adopt(record, task)
         elif not claimed:
             self._book.queue(task)
-        elif self._settled:
+        elif self.settled:
             self._settle_claim(task)
 
     def _run_of(self, name: TaskName) -> tuple[Minion, RunRecord] | None:
@@ -364,7 +374,7 @@
             self._dispatch()
 
     def _dispatch(self) -> None:
-        if not self._settled or self._deposed.is_set():
+        if not self.settled or self._deposed.is_set():
             return
         waiting = [step for step in self._book.steps if step.waiting]
         if not waiting:
--- a/src/brasstray/pool/run_tracker.py
+++ b/src/brasstray/pool/run_tracker.py
@@ -31,7 +31,10 @@
 
 
 class RunTracker:
-    """Bring the book in line with what minions tell; `stop` stops a run.
+    """Bring the book in line with what minions tell.
+
+    `claims_over` tells whether runs that nobody has claimed are to be stopped, which
+    `stop` does.
 
     Tasks whose run has ended without a result wait in the book for another start.
     """
@@ -43,7 +46,7 @@
         durations: Durations,
         clock: Clock,
         events: OwnerEvents,
-        settled: Callable[[], bool],
+        claims_over: Callable[[], bool],
         stop: Callable[[Minion, RunRecord], None],
     ) -> None:
         self._book = book
@@ -51,7 +54,7 @@
         self._durations = durations
         self._clock = clock
         self._events = events
-        self._settled = settled
+        self._claims_over = claims_over
         self._stop = stop
 
     def see(
@@ -108,7 +111,7 @@
         if task is not None and task.phase is not TaskPhase.PLACED:
             self._book.unqueue(task)
             minion.adopt(record, task)
-        elif self._settled():
+        elif self._claims_over():
             self._stop(minion, record)
 
     def _end(self, minion: Minion, record: RunRecord, end: RunEnd) -> None:
@@ -154,10 +157,10 @@
         task = self._book.find(name)
         if task is None or task.phase is not TaskPhase.CLAIMED:
             return
+        # Any other end is that of one run: a later one may go on where this owner has
+        # not looked yet, which is known once it has settled.
         if end is RunEnd.DONE:
             self._book.finish(task, done=True)
-        elif self._settled():
-            self._book.queue(task)
 
     def refuse(self, minion: Minion, record: RunRecord, refusal: StartRefusal) -> None:
         """Take back a run that `minion` has not started."""
