Model looks without a lease, leases of earlier owners, and runs that are being stopped

The model of pools merged a new owner's look and hold into one step, and a stop was carried out at once: no state of it had a run seen under a lease that the owner did not give, nor one that no look shows. That is why it held while the code failed.

--- a/spec/pool_protocol.py
+++ b/spec/pool_protocol.py
@@ -5,7 +5,8 @@
 travel as messages that arrive at any later moment, or never. Silence is a step that
 never comes. A lease is on or off; an order carries a lease of its own that is on until
 `the lease lapses` has been taken for its minion. One extension of leases may be held
-up, and be carried out after its minion has answered later calls.
+up, and be carried out after its minion has answered later calls. A look shows what runs
+and extends nothing; a run that is being stopped is shown by none.
 """
 
 from __future__ import annotations
@@ -36,6 +37,8 @@
     HOLD_FIRST = "a minion back in reach is held before late starts are stopped there"
     UNCONFIRMED = "tasks that lapsed are started again by an owner that was replaced"
     UNEXTENDED = "tasks that lapsed are started again though an extension is held up"
+    FOREIGN_LEASE = "a lease that an earlier owner gave is taken for over"
+    UNSTOPPED = "a run that is being stopped is taken for ended by a new owner"
     FORGETFUL = "a job is said not to have run although a start was sent"
 
 
@@ -43,7 +46,9 @@
     """A minion: the highest token seen, its lease, the run at work, runs barred.
 
     `extended` says that an extension came late, so that the lease outlives what owners
-    reckon from earlier ones; a hold after it is reckoned from, and covers it.
+    reckon from earlier ones; a hold after it is reckoned from, and covers it, and so
+    does the first answer to a new owner. `leased_by` is the token of who gave the lease
+    last, `stopping` the run that is being stopped.
     """
 
     token: int = 1
@@ -51,6 +56,8 @@
     running: int = 0
     barred: int = 0
     extended: bool = False
+    leased_by: int = 1
+    stopping: int = 0
 
 
 class Order(NamedTuple):
@@ -73,7 +80,7 @@
     """An owner's book: where the task is, and what it must settle first.
 
     `phase` is "away" (not yet owning), "settling", "found", "waiting", "sent",
-    "active", "silent" or "given up".
+    "active", "stopping", "silent" or "given up".
     """
 
     phase: str
@@ -134,7 +141,11 @@
         allowed = order.token >= minion.token and order.run > minion.barred
         if allowed and (order.fresh or minion.lease) and not minion.running:
             begun = minion._replace(
-                token=order.token, running=order.run, lease=True, barred=order.run
+                token=order.token,
+                running=order.run,
+                lease=True,
+                barred=order.run,
+                leased_by=order.token,
             )
             yield f"run {order.run} begins on {order.minion}", _put(left, order, begun)
         else:
@@ -150,6 +161,9 @@
         if minion.running:
             ended = minion._replace(running=0)
             yield f"the run on {number} ends", _with(s, number, ended)
+        if minion.stopping:
+            stopped = minion._replace(stopping=0)
+            yield f"the stop on {number} is carried out", _with(s, number, stopped)
 
 
 def place(
@@ -184,13 +198,26 @@
     elif owner.phase == "active":
         done = owner._replace(phase="waiting")
         yield f"{name} hears of the end", s._replace(**{name: done})
+    if owner.phase == "active" and minion.running == owner.run:
+        # It is so slow that the task is better run elsewhere.
+        stopped = owner._replace(phase="stopping")
+        state = _with(s, owner.minion, _stop(minion, owner.run))
+        yield f"{name} has its slow run stopped", state._replace(**{name: stopped})
 
 
 def settle(
     s: State, name: str, token: int, owner: Owner, variant: PoolVariant
 ) -> Iterator[Step]:
-    """A start was not answered: a stop that is answered bars the run for good."""
-    if owner.phase != "sent" or owner.minion in owner.out_of_reach:
+    """A start was not answered: a stop that is answered bars the run for good.
+
+    What is being stopped is waited for.
+    """
+    if owner.minion in owner.out_of_reach:
+        return
+    if owner.phase == "stopping" and not s.minions[owner.minion].stopping:
+        over = owner._replace(phase="waiting")
+        yield f"{name} hears that its run was stopped", s._replace(**{name: over})
+    if owner.phase != "sent":
         return
     if variant is PoolVariant.UNSETTLED:
         again = owner._replace(phase="waiting")
@@ -198,7 +225,7 @@
     minion = s.minions[owner.minion]
     if minion.token <= token:
         stopped = _stop(minion, owner.run)
-        settled = owner._replace(phase="waiting")
+        settled = owner._replace(phase="stopping" if stopped.stopping else "waiting")
         state = _with(s, owner.minion, stopped)._replace(**{name: settled})
         yield f"{name} has its run stopped", state
 
@@ -224,7 +251,8 @@
 
     Silence of the other is a step that never comes: nothing need be sent there.
     """
-    if owner.phase in ("sent", "active") and owner.minion not in owner.out_of_reach:
+    at_work = owner.phase in ("sent", "found", "active", "stopping")
+    if at_work and owner.minion not in owner.out_of_reach:
         number = owner.minion
         silent = owner._replace(out_of_reach=owner.out_of_reach | {number})
         if owner.phase == "sent":
@@ -241,21 +269,24 @@
         if owner.held_up == owner.minion:
             certain = certain and variant is PoolVariant.UNEXTENDED
         if certain:
-            yield f"the lease on {owner.minion} lapses", _lapse(s, name, owner)
+            lapsed = _lapse(s, name, owner, variant)
+            yield f"the lease on {owner.minion} lapses", lapsed
         else:
             given_up = owner._replace(phase="given up")
             yield f"{name} gives the task up", s._replace(**{name: given_up})
 
 
-def _lapse(s: State, name: str, owner: Owner) -> State:
+def _lapse(s: State, name: str, owner: Owner, variant: PoolVariant) -> State:
     number = owner.minion
     orders = frozenset(
         order._replace(fresh=False) if order.minion == number else order
         for order in s.orders
     )
     lapsed = s.minions[number]
-    if lapsed.token == (1 if name == "first" else 2) and not lapsed.extended:
-        lapsed = lapsed._replace(lease=False, running=0)
+    token = 1 if name == "first" else 2
+    reckoned = lapsed.leased_by == token or variant is not PoolVariant.FOREIGN_LEASE
+    if lapsed.token == token and reckoned and not lapsed.extended:
+        lapsed = lapsed._replace(lease=False, running=0, stopping=0)
     freed = owner._replace(phase="waiting")
     return _with(s, number, lapsed)._replace(orders=orders, **{name: freed})
 
@@ -276,7 +307,7 @@
             out_of_reach=owner.out_of_reach - {number},
             unsettled=owner.unsettled - settled,
         )
-        held = minion._replace(lease=True, token=token, extended=False)
+        held = minion._replace(lease=True, token=token, extended=False, leased_by=token)
         yield (
             f"{name} holds {number} again",
             _with(s, number, held)._replace(**{name: back}),
@@ -284,7 +315,11 @@
 
 
 def take_over(s: State, variant: PoolVariant) -> Iterator[Step]:
-    """The second owner takes the pool and fences one minion after the other."""
+    """The second owner takes the pool, and looks at and holds one minion after another.
+
+    It takes what it sees for all that runs once what was being stopped when it looked
+    has had time to end.
+    """
     owner = s.second
     if owner.phase == "away":
         taken = Owner("settling", run=0)
@@ -301,9 +336,20 @@
             seen = seen._replace(phase="found", minion=number, run=minion.running)
         elif minion.running and owner.phase == "waiting":
             seen = seen._replace(phase="active", minion=number, run=minion.running)
-        fenced = minion._replace(token=2, lease=True, extended=False)
-        yield f"second fences {number}", _with(s, number, fenced)._replace(second=seen)
-    if owner.fenced == frozenset(MINIONS) and owner.phase in ("settling", "found"):
+        fenced = minion._replace(token=2, extended=False)
+        yield (
+            f"second looks at {number}",
+            _with(s, number, fenced)._replace(second=seen),
+        )
+    for number in sorted(owner.fenced - owner.out_of_reach):
+        minion = s.minions[number]
+        if minion.leased_by != 2:
+            held = minion._replace(lease=True, leased_by=2)
+            yield f"second holds {number}", _with(s, number, held)
+    stopped = not any(minion.stopping for minion in s.minions)
+    known = stopped or variant is PoolVariant.UNSTOPPED
+    all_seen = owner.fenced == frozenset(MINIONS) and known
+    if all_seen and owner.phase in ("settling", "found"):
         phase = "waiting" if owner.phase == "settling" else "active"
         settled = owner._replace(phase=phase)
         yield "second knows what runs", s._replace(second=settled)
@@ -318,8 +364,10 @@
 
 
 def _stop(minion: Minion, run: int) -> Minion:
-    running = 0 if minion.running and minion.running <= run else minion.running
-    return minion._replace(barred=max(minion.barred, run), running=running)
+    barred = minion._replace(barred=max(minion.barred, run))
+    if minion.running and minion.running <= run:
+        return barred._replace(running=0, stopping=minion.running)
+    return barred
 
 
 def _put(s: State, order: Order, minion: Minion) -> State:
@@ -333,8 +381,8 @@
 
 
 def never_two_runs(s: dict) -> bool:
-    """The task is never at work on two minions at the same time."""
-    return sum(bool(minion.running) for minion in s["minions"]) <= 1
+    """The task is never at work twice at the same time."""
+    return sum(bool(m.running) + bool(m.stopping) for m in s["minions"]) <= 1
 
 
 def not_run_is_true(s: dict) -> bool:
--- a/tests/spec/test_pool_protocol.py
+++ b/tests/spec/test_pool_protocol.py
@@ -10,7 +10,7 @@
 from spec.pool_protocol import POOL_INVARIANTS, PoolVariant, pool_model
 from spec.resend_timing import designed, resend_model
 
-MAX_STATES = 1_000_000
+MAX_STATES = 3_000_000
 BROKEN = {
     PoolVariant.UNFENCED: "never_two_runs",
     PoolVariant.UNSETTLED: "never_two_runs",
@@ -18,6 +18,8 @@
     PoolVariant.HOLD_FIRST: "never_two_runs",
     PoolVariant.UNCONFIRMED: "never_two_runs",
     PoolVariant.UNEXTENDED: "never_two_runs",
+    PoolVariant.FOREIGN_LEASE: "never_two_runs",
+    PoolVariant.UNSTOPPED: "never_two_runs",
     PoolVariant.FORGETFUL: "not_run_is_true",
 }
 
