Have the store confirm who owns the pool before a host says so

Symptom: two hosts asked one after the other both say that they own the pool. A host that was late, or whose watch had lost its answer, named itself the owner beside the new one for as long as that went on.

Now an owner that is asked reads its pool's entry first, one call to the store a request, and leaves the pool if another has it. If the store is away it goes on, as minions obey the highest token, and the status tells how old the store's last word is. Ruled out: answers of minions as evidence, since those that the new owner has not reached yet still obey.

--- a/src/brasstray/command/host.py
+++ b/src/brasstray/command/host.py
@@ -67,8 +67,9 @@
 
 def _pool_lines(owned: OwnedPoolStatus) -> list[str]:
     settled = "" if owned.settled else ", not settled"
+    confirmed = f"confirmed {owned.confirmed_ms_ago / 1_000:.1f} s ago"
     lines = [
-        f"  owns {owned.pool} under token {owned.token}{settled}",
+        f"  owns {owned.pool} under token {owned.token}, {confirmed}{settled}",
         f"  places {owned.places}, wait {owned.wait_ms} ms",
     ]
     for minion in owned.minions:
--- a/src/brasstray/daemon/pool_daemon.py
+++ b/src/brasstray/daemon/pool_daemon.py
@@ -5,6 +5,7 @@
 import signal
 import time
 from datetime import timedelta
+from functools import partial
 from random import SystemRandom
 from typing import TYPE_CHECKING
 
@@ -15,7 +16,7 @@
 from brasstray.clock.loop import LoopClock
 from brasstray.host.event_log import EventLog
 from brasstray.host.gauges import observe_host
-from brasstray.host.host_status import HostStatus, host_status
+from brasstray.host.host_status import current_status
 from brasstray.host.identity import HostIdentity
 from brasstray.host.outside import Outside
 from brasstray.host.pool_host import PoolHost
@@ -107,7 +108,9 @@
         )
         self._front = HttpServer(FrontApp(self._host))
         self._ready = HttpServer(ReadyApp(self._host))
-        self._metrics = HttpServer(MetricsApp(reader, self._status))
+        self._metrics = HttpServer(
+            MetricsApp(reader, partial(current_status, self._host))
+        )
         observe_host(metrics, self._host)
 
     async def run(self) -> None:
@@ -178,9 +181,6 @@
                     grace_seconds=settings.stop.grace_seconds,
                 )
 
-    def _status(self) -> HostStatus:
-        return host_status(self._host)
-
     @property
     def _busy(self) -> bool:
         """Tell whether callers wait here, or minions have nobody else to order them."""
--- a/src/brasstray/host/host_status.py
+++ b/src/brasstray/host/host_status.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 import msgspec
@@ -15,6 +16,9 @@
     from brasstray.pool.owner import PoolOwner
 
 
+_MILLISECOND = timedelta(milliseconds=1)
+
+
 class MinionStatus(msgspec.Struct, frozen=True, kw_only=True):
     """Hold a minion of the pool; free room in thousandths of a core and megabytes."""
 
@@ -31,10 +35,13 @@
     """Hold the pool that the host owns.
 
     `settled` tells whether it is known what its minions run; nothing starts before.
+    `confirmed_ms_ago` is how old the store's last word is that the host owns the pool;
+    while the store is away, another host may have taken it since.
     """
 
     pool: PoolId
     token: FencingToken
+    confirmed_ms_ago: int
     settled: bool
     places: int
     wait_ms: int
@@ -68,7 +75,8 @@
 
 
 async def current_status(host: PoolHost) -> HostStatus:
-    """Return what operators see of `host` now."""
+    """Return what operators see of `host` now, after the store was asked."""
+    await host.confirm_owned()
     return host_status(host)
 
 
@@ -82,7 +90,7 @@
         state=_state(host),
         config_version=host.config.version,
         jobs=host.coordinator.active,
-        owned=None if owner is None else _owned(owner),
+        owned=None if owner is None else _owned(owner, host.owned_confirmed_ago),
         owners=tuple(
             OwnerStatus(
                 pool=pool,
@@ -102,11 +110,12 @@
     return "ready" if host.ready else "not ready"
 
 
-def _owned(owner: PoolOwner) -> OwnedPoolStatus:
+def _owned(owner: PoolOwner, confirmed_ago: timedelta) -> OwnedPoolStatus:
     load = owner.load()
     return OwnedPoolStatus(
         pool=owner.pool,
         token=owner.token,
+        confirmed_ms_ago=confirmed_ago // _MILLISECOND,
         settled=owner.settled,
         places=load.places,
         wait_ms=load.wait_ms,
--- a/src/brasstray/host/ownership.py
+++ b/src/brasstray/host/ownership.py
@@ -75,6 +75,7 @@
         self._succession = succession
         self._token_held = 0
         self._token_left = 0
+        self._confirmed_at = timedelta(0)
         self._known = False
         self._draining = False
         self._vacant_since: timedelta | None = None
@@ -86,6 +87,11 @@
         """Tell whether the store has been read since the start."""
         return self._known
 
+    @property
+    def confirmed_at(self) -> timedelta:
+        """Return when the store last said that this host owns the pool."""
+        return self._confirmed_at
+
     def drain(self) -> None:
         """Claim nothing from now on."""
         self._draining = True
@@ -121,12 +127,17 @@
                     for key in changes.removed:
                         self._forget(key)
                     as_of = changes.as_of
+                    self._note_confirmed()
             except HistoryLostError:
                 self._events.history_lost("pools")
             except StoreUnavailableError as error:
                 self._events.store_lost("pools", str(error))
                 await self._clock.sleep(self._timing.store_retry)
 
+    def _note_confirmed(self) -> None:
+        if self._token_held:
+            self._confirmed_at = self._clock.monotonic()
+
     def _learn_all(self, entries: tuple[StoreEntry, ...]) -> None:
         for entry in entries:
             self._learn(entry)
@@ -231,11 +242,11 @@
             version = await self._store.swap(key, value, expected)
         except StoreConflictError:
             self._events.pool_claim_failed(self._pool, "taken by another host")
-            await self._refresh()
+            await self.refresh()
         except StoreUnavailableError as error:
             self._events.pool_claim_failed(self._pool, str(error))
             await self._clock.sleep(self._timing.store_retry)
-            await self._refresh()
+            await self.refresh()
         else:
             entry_owner = OwnedPool(owner=record, token=FencingToken(version))
             self._directory.learn(self._pool, entry_owner)
@@ -243,9 +254,11 @@
 
     def _hold(self, owned: OwnedPool) -> None:
         self._token_held = owned.token
+        self._note_confirmed()
         self._take(owned)
 
-    async def _refresh(self) -> None:
+    async def refresh(self) -> None:
+        """Ask the store who owns the pool, and act on what it says."""
         try:
             entry = await self._store.get(pool_key(self._pool))
         except StoreUnavailableError as error:
@@ -255,6 +268,7 @@
             self._forget(pool_key(self._pool))
         else:
             self._learn(entry)
+        self._note_confirmed()
 
 
 __all__ = ["Ownership"]
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -159,6 +159,21 @@
         """Return the owner, while this host owns its pool."""
         return self._owner
 
+    @property
+    def owned_confirmed_ago(self) -> timedelta:
+        """Return how old the store's last word is that this host owns its pool."""
+        return self._clock.monotonic() - self._ownership.confirmed_at
+
+    async def confirm_owned(self) -> None:
+        """Have the store confirm that this host owns its pool, if it thinks so.
+
+        Guards against operators who see two owners: a host that was late, or whose
+        watch of the store has gone silent, goes on as the owner that it was. It leaves
+        the pool if the store says otherwise, and stays if the store says nothing.
+        """
+        if self._owner is not None:
+            await self._ownership.refresh()
+
     @property
     def draining(self) -> bool:
         """Tell whether this host is about to leave."""
--- a/src/brasstray/http/metrics_app.py
+++ b/src/brasstray/http/metrics_app.py
@@ -10,7 +10,7 @@
 from brasstray.metrics.prometheus_text import prometheus_text
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from opentelemetry.sdk.metrics.export import InMemoryMetricReader
 
@@ -28,7 +28,9 @@
     """
 
     def __init__(
-        self, reader: InMemoryMetricReader, status: Callable[[], msgspec.Struct]
+        self,
+        reader: InMemoryMetricReader,
+        status: Callable[[], Awaitable[msgspec.Struct]],
     ) -> None:
         self._reader = reader
         self._status = status
@@ -37,7 +39,7 @@
         """Answer one request."""
         del receive
         if scope["path"] == STATUS_PATH:
-            state = msgspec.json.encode(self._status())
+            state = msgspec.json.encode(await self._status())
             await HttpResponse(200, state + b"\n").send(send)
             return
         text = prometheus_text(self._reader.get_metrics_data())
--- a/tests/host/test_host_status.py
+++ b/tests/host/test_host_status.py
@@ -51,10 +51,10 @@
     assert state == "draining"
 
 
-# Two hosts, asked one after the other, both said that they own the pool, the second with
-# the next token. The first was late: another had taken its pool, and it was asked before
-# it had read of that. What it says of itself rested on the last that it had heard,
-# however old; where the answer to its watch of the store was lost, for seconds.
+# Two hosts, asked one after the other, both said that they own the pool, the second
+# with the next token. The first was late: another had taken its pool, and it was asked
+# before it had read of that. What it says of itself rested on the last that it had
+# heard, however old; where the answer to its watch of the store was lost, for seconds.
 @pytest.mark.parametrize("watch", ["just told", "silent"])
 def test_a_host_whose_pool_was_taken_does_not_say_that_it_owns_it(play_pools, watch):
     async def story(system):
@@ -70,3 +70,18 @@
 
     status, _ = play_pools(story)
     assert status.owned is None
+
+
+@pytest.mark.parametrize(("away", "least", "most"), [(0, 0, 0), (3_000, 2_900, 5_000)])
+def test_an_owner_says_how_old_the_confirmation_is(play_pools, away, least, most):
+    # While the store is away nobody can say who has taken the pool meanwhile: the owner
+    # goes on, and its status tells for how long it has not been confirmed.
+    async def story(system):
+        owner = system.owner()
+        if away:
+            system.store.down = True
+        await system.clock.sleep(timedelta(milliseconds=away))
+        return await current_status(system.hosts[owner].host)
+
+    status, _ = play_pools(story)
+    assert least <= status.owned.confirmed_ms_ago <= most
