--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -16,14 +16,10 @@
 from brasstray.host.minion_feed import MinionFeed
 from brasstray.host.ownership import Ownership
 from brasstray.host.pool_directory import PoolDirectory
+from brasstray.host.pool_move import PoolMove
 from brasstray.host.requester_link import RequesterLink
 from brasstray.host.requester_links import RequesterLinks
-from brasstray.host.succession import (
-    SHORTEST_TENURE,
-    Succession,
-    better_moved,
-    successors,
-)
+from brasstray.host.succession import Succession
 from brasstray.peer.message.config_part import ConfigPart
 from brasstray.peer.message.config_wanted import ConfigWanted
 from brasstray.peer.message.hello import Hello
@@ -130,8 +126,9 @@
         self._local = _LocalRequester(self, self._pool)
         self._group: TaskGroup | None = None
         self._draining = False
-        self._moving = False
-        self._owner_since = timedelta(0)
+        self._move = PoolMove(
+            self._pool, identity.power, self._requesters, clock, events
+        )
         self._leaves_at: timedelta | None = None
 
     @property
@@ -220,7 +217,7 @@
             group.start_soon(self._coordinator.watch)
             group.start_soon(self._watch_freezes)
             group.start_soon(self._push_loads)
-            group.start_soon(self._move_pool_when_better)
+            group.start_soon(self._move.watch, self._may_move)
 
     def drain(self, time_left: timedelta | None = None) -> None:
         """Have another host take the pool; go on with the jobs at work here.
@@ -281,8 +278,7 @@
             self._feed.held,
         )
         self._events.pool_taken(self._pool, owned.token, "claimed")
-        self._owner_since = self._clock.monotonic()
-        self._moving = False
+        self._move.begin()
         self._owner_scope = anyio.CancelScope()
         self._group.start_soon(self._run_owner, owner, self._owner_scope)
         self._directory.own(self._pool, self._take_local, self._load)
@@ -299,21 +295,11 @@
             self._ownership.drop()
             self._leave_pool("a minion has seen a higher token")
 
-    async def _move_pool_when_better(self) -> None:
-        """Ask the strongest host to take the pool from one that is much weaker."""
-        while True:
-            await self._clock.sleep(SHORTEST_TENURE)
-            if self._owner is None or self._draining or self._moving:
-                continue
-            held = self._clock.monotonic() - self._owner_since
-            powers = self._requesters.powers
-            if better_moved(self._identity.power, powers.values(), held):
-                self._moving = True
-                self._events.pool_moving(self._pool, successors(powers)[0])
-                self._requesters.tell_state()
+    def _may_move(self) -> bool:
+        return self._owner is not None and not self._draining
 
     def _leave_pool(self, why: str) -> None:
-        self._moving = False
+        self._move.end()
         owner, self._owner = self._owner, None
         if owner is None or self._owner_scope is None:
             return
@@ -355,7 +341,7 @@
             places=load.places,
             wait_ms=load.wait_ms,
             ready=owner is not None and owner.settled,
-            resigning=self._draining or self._moving,
+            resigning=self._draining or self._move.asked,
             config_version=self._config.version,
         )
 
