Split what a new owner waits for out of the owner

When a takeover is settled, what becomes of claimed tasks and when unclaimed runs are stopped stands in one class of its own.

--- a/src/brasstray/pool/minion.py
+++ b/src/brasstray/pool/minion.py
@@ -47,9 +47,9 @@
     def __init__(self, entry: MinionEntry) -> None:
         self.entry = entry
         self.reach = Reach.NEW
-        self._clear_from = timedelta(0)
         self.health = MinionHealth()
         self.runs: dict[tuple[TaskName, RunNumber], RunRecord] = {}
+        self._clear_from = timedelta(0)
         self._used = Resources()
         self._unsized = 0
         self._gone: deque[tuple[TaskName, RunNumber]] = deque(maxlen=ENDS_REMEMBERED)
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -22,6 +22,7 @@
 from brasstray.pool.run_judge import RunJudge
 from brasstray.pool.run_record import RunRecord, RunState
 from brasstray.pool.run_tracker import RunTracker
+from brasstray.pool.settlement import Settlement
 from brasstray.pool.task_book import TaskBook
 
 if TYPE_CHECKING:
@@ -79,18 +80,27 @@
         self._timing = timing
         self._events = events
         self._confirm = confirm
-        self._inherited = None if inherited is None else list(inherited)
+        self._inherited = list(inherited or ())
         self._durations = Durations(remote_factor)
         self._roster = Roster(clock, timing, self._begin_session, self._forget_minion)
         self._judge = RunJudge(lambda: self.minions, events)
         self._book = TaskBook(clock, events)
+        self._settlement = Settlement(
+            pool,
+            self._book,
+            self._roster,
+            clock,
+            timing,
+            events,
+            minions_told=inherited is not None,
+        )
         self._runs = RunTracker(
             self._book,
             self._judge,
             self._durations,
             clock,
             events,
-            lambda: self.settled or self._claims_over,
+            lambda: self._settlement.claims_over,
             lambda minion, record: self._roster.session(minion.entry.id).stop(record),
         )
         self._sharing = LoadSharing(
@@ -99,9 +109,6 @@
         self._lag = LoopLag()
         self._first_calls = anyio.Semaphore(FIRST_CALLS_AT_ONCE)
         self._group: TaskGroup | None = None
-        self._listed = anyio.Event()
-        self._settled = anyio.Event()
-        self._claims_over = False
         self._deposed = anyio.Event()
         self._wake = anyio.Event()
         self._changed = anyio.Event()
@@ -127,7 +134,7 @@
     @property
     def settled(self) -> bool:
         """Tell whether it is known what the minions run."""
-        return self._settled.is_set()
+        return self._settlement.settled
 
     @property
     def deposed(self) -> bool:
@@ -143,9 +150,9 @@
         """Own the pool until deposed or cancelled."""
         async with anyio.create_task_group() as group:
             self._group = group
-            self._roster.inherit(self._inherited or ())
+            self._roster.inherit(self._inherited)
             group.start_soon(self._settle)
-            group.start_soon(self._stop_unclaimed_in_time)
+            group.start_soon(self._settlement.stop_unclaimed_in_time)
             group.start_soon(self._watch_time)
             group.start_soon(self._dispatch_when_woken)
             try:
@@ -166,7 +173,7 @@
     def list_minions(self, entries: Iterable[MinionEntry]) -> None:
         """Take the minions that the store lists for this pool."""
         self._roster.update(entries)
-        self._listed.set()
+        self._settlement.note_listed()
         self.dispatch()
 
     def _begin_session(self, minion: Minion) -> MinionSession:
@@ -190,73 +197,9 @@
         self._durations.forget(minion.entry.id)
 
     async def _settle(self) -> None:
-        """Wait until every minion has told what it runs, or had time to."""
-        await self._listed.wait()
-        deadline = self._clock.monotonic() + self._timing.settle_patience
-        while not self._all_known:
-            if self._clock.monotonic() >= deadline and not self._all_reached:
-                break
-            await self._clock.sleep(5 * _MILLISECOND)
-        self._settled.set()
-        self._settle_claims()
+        await self._settlement.settle()
         self.dispatch()
 
-    async def _stop_unclaimed_in_time(self) -> None:
-        """Stop the runs of an earlier owner that nobody claims.
-
-        Guards against a run beside the same job sent again to another data centre: its
-        time counts from the takeover, whether or not the list of minions can be read.
-        """
-        with anyio.move_on_after(self._timing.settle_patience.total_seconds()):
-            await self._settled.wait()
-        await self._clock.sleep(self._timing.orphan_patience)
-        self._claims_over = True
-        self._stop_unclaimed()
-
-    def _settle_claims(self) -> None:
-        claimed = [
-            task
-            for step in self._book.steps
-            for task in step.tasks.values()
-            if task.phase is TaskPhase.CLAIMED
-        ]
-        queued = sum(self._settle_claim(task) for task in claimed)
-        unreached = sum(minion.reach is Reach.NEW for minion in self.minions)
-        given_up = len(claimed) - queued
-        self._events.settled(self._pool, len(self.minions), unreached, queued, given_up)
-
-    def _settle_claim(self, task: PoolTask) -> bool:
-        """Queue a claimed task that is known to run nowhere; else give it back.
-
-        Return whether it was queued.
-
-        Guards against a second run beside one that goes on where this owner does not
-        reach and an earlier one may: nobody can tell, so the job is given up. Without
-        the last owner's list of minions nobody can tell either.
-        """
-        if self._inherited is not None and self._all_known:
-            self._book.queue(task)
-            return True
-        self._book.give_up(task)
-        return False
-
-    @property
-    def _all_reached(self) -> bool:
-        """Tell whether every minion has been asked under this owner's token."""
-        return all(minion.reach is not Reach.NEW for minion in self.minions)
-
-    @property
-    def _all_known(self) -> bool:
-        """Tell whether everything that may be at work on the minions is known."""
-        now = self._clock.monotonic()
-        return all(minion.is_known(now) for minion in self.minions)
-
-    def _stop_unclaimed(self) -> None:
-        for session in self._roster.sessions:
-            for record in list(session.minion.runs.values()):
-                if record.task is None:
-                    session.stop(record)
-
     async def _watch_time(self) -> None:
         while True:
             due = self._clock.monotonic() + TIME_STEP
@@ -295,7 +238,7 @@
         elif not claimed:
             self._book.queue(task)
         elif self.settled:
-            self._settle_claim(task)
+            self._settlement.settle_claim(task)
 
     def _run_of(self, name: TaskName) -> tuple[Minion, RunRecord] | None:
         """Return a run of the task that goes on, or else one that is being stopped.
