Ask the store about lapsed runs only where its answer can matter

Found on reading the change again: the store was asked also where an order that is held up already puts the runs in doubt, a call that the code before did not make; and the doubt was weighed a second time, though it can arise only from an answer, which ends the wait anyway. Decisions are the same. One stand-in that stood in two files of the pool's tests stands in one; no assertion is changed.

--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -195,12 +195,13 @@
         was answered, and what runs there is told by the next look.
         """
         answers = self._answers
-        reckoning = self._lease.reckoning(self._clock.monotonic())
-        confirmed = not self._minion.runs or await self._owner.confirm()
+        now = self._clock.monotonic()
+        reckoning = self._lease.reckoning(now)
+        certain = not self._lease.may_be_extended(now)
+        if certain and self._minion.runs:
+            certain = await self._owner.confirm()
         if self._answers != answers:
             return False
-        may_live = self._lease.may_be_extended(self._clock.monotonic())
-        certain = confirmed and not may_live
         self._owner.lapse_minion(self._minion, reckoning, certain=certain)
         return True
 
--- a/tests/pool/test_task_book.py
+++ b/tests/pool/test_task_book.py
@@ -4,6 +4,7 @@
 
 import pytest
 from tests.conftest import run_virtual
+from tests.pool.takeover import Silent
 
 from brasstray.batch.ids import RunNumber
 from brasstray.batch.task_name import TaskName
@@ -28,11 +29,6 @@
         self.told.append(("later", message.done, message.failed))
 
 
-class Silent:
-    def __getattr__(self, name):
-        return lambda *_, **__: None
-
-
 def request(width):
     return RunTasks(
         batch=JOB,
