--- a/src/brasstray_standins/leased_minion.py
+++ b/src/brasstray_standins/leased_minion.py
@@ -53,6 +53,15 @@
     fails: bool = False
 
 
+@dataclass(frozen=True)
+class NotedStart:
+    """Say which task began on which minion, and when."""
+
+    task: TaskName
+    minion: MinionEntry
+    at: timedelta
+
+
 @dataclass
 class RunBook:
     """Count the runs of all minions, to see promises broken.
@@ -64,9 +73,14 @@
     usual: Work
     works: dict[TaskName, Work] = field(default_factory=dict)
     active: dict[TaskName, list[str]] = field(default_factory=dict)
-    starts: list[TaskName] = field(default_factory=list)
+    noted: list[NotedStart] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)
 
+    @property
+    def starts(self) -> list[TaskName]:
+        """Return the tasks that began, in order."""
+        return [noted.task for noted in self.noted]
+
     def work(self, task: TaskName) -> Work:
         """Return what `task` takes."""
         return self.works.get(task, self.usual)
@@ -200,8 +214,8 @@
         if others:
             self._book.broken.append(f"{task} on {self.entry.id} and {others}")
         others.append(str(self.entry.id))
-        self._book.starts.append(task)
         now = self._clock.monotonic()
+        self._book.noted.append(NotedStart(task, self.entry, now))
         self._runs[task] = StandInRun(
             task,
             run,
@@ -249,4 +263,4 @@
             minion.tick()
 
 
-__all__ = ["LeasedMinion", "RunBook", "StandInRun", "Work", "tick_all"]
+__all__ = ["LeasedMinion", "NotedStart", "RunBook", "StandInRun", "Work", "tick_all"]
--- a/src/brasstray_standins/memory_store.py
+++ b/src/brasstray_standins/memory_store.py
@@ -87,9 +87,9 @@
                 await self._changed.wait()
                 if self._oldest > after:
                     raise HistoryLostError(prefix)
-        found = self._since(prefix, after)
-        written = tuple(e for e in found if e.name in self._entries and e.value)
-        removed = tuple(e.name for e in found if not e.value)
+        latest = {entry.name: entry for entry in self._since(prefix, after)}
+        written = tuple(e for e in latest.values() if e.value)
+        removed = tuple(e.name for e in latest.values() if not e.value)
         return Changes(written, removed, self._version)
 
     def _since(self, prefix: str, after: int) -> list[StoreEntry]:
--- a/src/brasstray_standins/pool_system.py
+++ b/src/brasstray_standins/pool_system.py
@@ -39,7 +39,8 @@
     from brasstray.metrics.pool_metrics import PoolMetrics
 
 SERVICE = ServiceName("verlofdienst")
-CONFIG_KEY = "config"
+CONFIG_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
 TICK = timedelta(milliseconds=1)
 STRONG_POWER = 4.0
 STRONG_LINK = 8.0
@@ -199,6 +200,21 @@
         text = json.dumps({"version": version, "routes": "r" * size})
         self.store.put(CONFIG_KEY, text.encode())
 
+    def evacuate(self, centre: str, value: bytes = b"{}") -> timedelta:
+        """Ask as the operator does for no new work in `centre`; return when."""
+        self.store.put(EVACUATION_PREFIX + centre, value)
+        return self.clock.monotonic()
+
+    def resume(self, centre: str) -> timedelta:
+        """Take that back; return when."""
+        self.store.remove(EVACUATION_PREFIX + centre)
+        return self.clock.monotonic()
+
+    def starts_in(self, centre: str) -> list[timedelta]:
+        """Return when tasks began in a data centre."""
+        noted = self.book.noted
+        return [start.at for start in noted if start.minion.data_centre == centre]
+
     def start_all(self) -> None:
         """Start every host."""
         for centre in self.centres:
@@ -296,6 +312,7 @@
 
 
 __all__ = [
+    "CONFIG_KEY",
     "USUAL_DURATION",
     "USUAL_NEEDS",
     "PoolSystem",
--- a/tests/host/test_pool_failures.py
+++ b/tests/host/test_pool_failures.py
@@ -19,6 +19,7 @@
 from brasstray.peer.message.run_tasks import RunTasks
 from brasstray_standins.leased_minion import Work
 from brasstray_standins.pool_system import (
+    CONFIG_KEY,
     USUAL_NEEDS,
     PoolSystemSize,
     usual_batch,
@@ -498,7 +499,7 @@
         system.set_config(7)
         await system.clock.sleep(SECOND)
         versions = [r.host.config.version for r in system.hosts.values()]
-        system.store.put("config", b'{"version": 5}')
+        system.store.put(CONFIG_KEY, b'{"version": 5}')
         await system.clock.sleep(SECOND)
         return versions, [r.host.config.version for r in system.hosts.values()]
 
--- a/tests/host/test_random_streams.py
+++ b/tests/host/test_random_streams.py
@@ -19,7 +19,7 @@
 from brasstray.batch.step import Step
 from brasstray.batch.task_name import TaskName
 from brasstray_standins.leased_minion import Work
-from brasstray_standins.pool_system import USUAL_NEEDS, PoolSystemSize
+from brasstray_standins.pool_system import CONFIG_KEY, USUAL_NEEDS, PoolSystemSize
 
 # About a second each on a busy machine; more are played by hand.
 EXAMPLES = int(os.environ.get("STREAM_EXAMPLES", "40"))
@@ -284,4 +284,6 @@
         if all(outcome is BatchOutcome.NOT_RUN for outcome in client.tries):
             assert not ran
     versions = {running.host.config.version for running in system.hosts.values()}
-    assert versions <= {json.loads(system.store.entries("config")[0].value)["version"]}
+    assert versions <= {
+        json.loads(system.store.entries(CONFIG_KEY)[0].value)["version"]
+    }
