Split when and where tasks start out of the owner of a pool

It keeps the lease, the requests and what minions tell; the dispatcher decides when waiting tasks start, and where.

--- /dev/null
+++ b/src/brasstray/pool/dispatcher.py
@@ -0,0 +1,156 @@
+"""Decide when waiting tasks of a pool start, and where."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+import anyio
+
+from brasstray.batch.ids import RunNumber
+from brasstray.pool.placement import choose_minion, urgency
+from brasstray.pool.pool_load import PoolLoad
+from brasstray.pool.pool_task import TaskPhase
+from brasstray.pool.run_record import RunRecord, RunState
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from brasstray.clock.clock import Clock
+    from brasstray.pool.durations import Durations
+    from brasstray.pool.load_sharing import LoadSharing
+    from brasstray.pool.minion import Minion
+    from brasstray.pool.owner_events import OwnerEvents
+    from brasstray.pool.pool_task import PoolTask
+    from brasstray.pool.roster import Roster
+    from brasstray.pool.step_tasks import StepTasks
+    from brasstray.pool.task_book import TaskBook
+
+# How long a load that was worked out is told again: no longer than other pools wait
+# between two news of it.
+LOAD_AGE = timedelta(milliseconds=10)
+
+
+class Dispatcher:
+    """Start what there is room for, once all that is to be read now was read.
+
+    Ends and requests come in bursts. Going over all that waits after each of them took
+    most of an overloaded owner's time. `may_start` tells whether starts are allowed.
+    """
+
+    def __init__(
+        self,
+        book: TaskBook,
+        roster: Roster,
+        durations: Durations,
+        sharing: LoadSharing,
+        clock: Clock,
+        events: OwnerEvents,
+        may_start: Callable[[], bool],
+    ) -> None:
+        self._book = book
+        self._roster = roster
+        self._durations = durations
+        self._sharing = sharing
+        self._clock = clock
+        self._events = events
+        self._may_start = may_start
+        self._wake = anyio.Event()
+        self._changed = anyio.Event()
+        self._review_due = False
+        self._load = PoolLoad()
+        self._load_known_until = timedelta(0)
+
+    def load(self) -> PoolLoad:
+        """Return the room, and the wait for a task that came now."""
+        now = self._clock.monotonic()
+        if now >= self._load_known_until:
+            self._load = self._sharing.load()
+            self._load_known_until = now + LOAD_AGE
+        return self._load
+
+    def wake(self) -> None:
+        """Have waiting tasks looked at, as a place may be free."""
+        self._wake.set()
+        self._changed.set()
+
+    def review(self) -> None:
+        """Do that, and weigh again what becomes of tasks that have to wait."""
+        self._review_due = True
+        self.wake()
+
+    def end(self) -> None:
+        """Let go whoever waits for a change."""
+        self._changed.set()
+
+    async def wait_for_change(self) -> None:
+        """Wait until the load may have changed since this was called last."""
+        await self._changed.wait()
+        self._changed = anyio.Event()
+
+    async def run(self) -> None:
+        """Dispatch whenever woken, until cancelled."""
+        while True:
+            await self._wake.wait()
+            self._wake = anyio.Event()
+            if self._may_start():
+                self._dispatch()
+
+    def _dispatch(self) -> None:
+        waiting = [step for step in self._book.steps if step.waiting]
+        if not waiting:
+            return
+        now = self._clock.monotonic()
+        smallest = min(step.needs.cpu_millis for step in waiting)
+        minions = [
+            minion
+            for minion in self._roster.minions
+            if minion.free_cpu_millis >= smallest and minion.usable(now)
+        ]
+        # Guards against sorting a long queue at every end while nothing can start:
+        # under overload that alone would keep the owner from reading the next end.
+        if not minions and not self._review_due:
+            return
+        waiting.sort(
+            key=lambda step: urgency(
+                step, self._durations.expected(step, None, ()), now
+            )
+        )
+        for step in waiting:
+            self._start_some(step, minions, now)
+        if self._review_due:
+            self._review_due = False
+            self._sharing.pass_on([step for step in waiting if step.waiting], now)
+
+    def _start_some(
+        self, step: StepTasks, minions: list[Minion], now: timedelta
+    ) -> None:
+        while step.waiting:
+            task = step.waiting[0]
+            minion = choose_minion(task, minions, self._durations, now)
+            if minion is None:
+                return
+            step.waiting.pop(0)
+            self._place(task, minion, now)
+
+    def _place(self, task: PoolTask, minion: Minion, now: timedelta) -> None:
+        step, entry = task.of, minion.entry
+        task.phase = TaskPhase.PLACED
+        task.last_run = RunNumber(task.last_run + 1)
+        expected = self._durations.expected(step, entry.id, entry.labels)
+        record = RunRecord(
+            task.name,
+            task.last_run,
+            step.needs,
+            now,
+            expected,
+            RunState.STARTING,
+            task,
+        )
+        step.begun = True
+        minion.add(record)
+        self._events.started(minion, record, now - step.arrived)
+        self._roster.session(entry.id).start(record, step.spec)
+
+
+__all__ = ["Dispatcher"]
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -9,18 +9,17 @@
 
 from brasstray.batch.ids import RunNumber
 from brasstray.batch.task_name import TaskName
+from brasstray.pool.dispatcher import Dispatcher
 from brasstray.pool.durations import Durations
 from brasstray.pool.load_sharing import LoadSharing
 from brasstray.pool.look import RunEnd
 from brasstray.pool.loop_lag import LoopLag
 from brasstray.pool.minion import Reach
 from brasstray.pool.minion_session import FIRST_CALLS_AT_ONCE, MinionSession
-from brasstray.pool.placement import choose_minion, urgency
-from brasstray.pool.pool_load import PoolLoad
 from brasstray.pool.pool_task import PoolTask, TaskPhase
 from brasstray.pool.roster import Roster
 from brasstray.pool.run_judge import RunJudge
-from brasstray.pool.run_record import RunRecord, RunState
+from brasstray.pool.run_record import RunState
 from brasstray.pool.run_tracker import RunTracker
 from brasstray.pool.settlement import Settlement
 from brasstray.pool.task_book import TaskBook
@@ -41,7 +40,9 @@
     from brasstray.pool.minion_entry import MinionEntry
     from brasstray.pool.other_pools import OtherPools
     from brasstray.pool.owner_events import OwnerEvents
+    from brasstray.pool.pool_load import PoolLoad
     from brasstray.pool.requester import Requester
+    from brasstray.pool.run_record import RunRecord
     from brasstray.pool.step_tasks import StepTasks
     from brasstray.pool.timing import PoolTiming
 
@@ -49,9 +50,6 @@
 # How often waiting tasks are looked at for what time alone changes: a suspension that
 # ends, a job that has become hopeless.
 TIME_STEP = timedelta(milliseconds=20)
-# How long a load that was worked out is told again: no longer than other pools wait
-# between two news of it.
-LOAD_AGE = timedelta(milliseconds=10)
 
 
 class PoolOwner:
@@ -110,11 +108,15 @@
         self._first_calls = anyio.Semaphore(FIRST_CALLS_AT_ONCE)
         self._group: TaskGroup | None = None
         self._deposed = anyio.Event()
-        self._wake = anyio.Event()
-        self._changed = anyio.Event()
-        self._review_due = False
-        self._load = PoolLoad()
-        self._load_known_until = timedelta(0)
+        self._dispatcher = Dispatcher(
+            self._book,
+            self._roster,
+            self._durations,
+            self._sharing,
+            clock,
+            events,
+            self._may_start,
+        )
 
     @property
     def pool(self) -> PoolId:
@@ -154,14 +156,14 @@
             group.start_soon(self._settle)
             group.start_soon(self._settlement.stop_unclaimed_in_time)
             group.start_soon(self._watch_time)
-            group.start_soon(self._dispatch_when_woken)
+            group.start_soon(self._dispatcher.run)
             try:
                 await self._deposed.wait()
             finally:
                 # Guards against orders after the end: messages and callers that end
                 # still reach this object for a moment, and it must not act any more.
                 self._deposed.set()
-                self._changed.set()
+                self._dispatcher.end()
                 group.cancel_scope.cancel()
 
     def depose(self) -> None:
@@ -285,94 +287,22 @@
 
     def load(self) -> PoolLoad:
         """Return the room, and the wait for a task that came now."""
-        now = self._clock.monotonic()
-        if now >= self._load_known_until:
-            self._load = self._sharing.load()
-            self._load_known_until = now + LOAD_AGE
-        return self._load
+        return self._dispatcher.load()
 
     def review(self) -> None:
         """Dispatch, and weigh again what becomes of tasks that have to wait."""
-        self._review_due = True
-        self.dispatch()
+        self._dispatcher.review()
 
     def dispatch(self) -> None:
-        """Start what there is room for, once all that is to be read now was read.
-
-        Ends and requests come in bursts. Going over all that waits after each of them
-        took most of an overloaded owner's time.
-        """
-        self._wake.set()
-        self._changed.set()
+        """Have waiting tasks started where there is room."""
+        self._dispatcher.wake()
 
     async def wait_for_change(self) -> None:
         """Wait until the load may have changed since this was called last."""
-        await self._changed.wait()
-        self._changed = anyio.Event()
+        await self._dispatcher.wait_for_change()
 
-    async def _dispatch_when_woken(self) -> None:
-        while True:
-            await self._wake.wait()
-            self._wake = anyio.Event()
-            self._dispatch()
-
-    def _dispatch(self) -> None:
-        if not self.settled or self._deposed.is_set():
-            return
-        waiting = [step for step in self._book.steps if step.waiting]
-        if not waiting:
-            return
-        now = self._clock.monotonic()
-        smallest = min(step.needs.cpu_millis for step in waiting)
-        minions = [
-            minion
-            for minion in self.minions
-            if minion.free_cpu_millis >= smallest and minion.usable(now)
-        ]
-        # Guards against sorting a long queue at every end while nothing can start:
-        # under overload that alone would keep the owner from reading the next end.
-        if not minions and not self._review_due:
-            return
-        waiting.sort(
-            key=lambda step: urgency(
-                step, self._durations.expected(step, None, ()), now
-            )
-        )
-        for step in waiting:
-            self._start_some(step, minions, now)
-        if self._review_due:
-            self._review_due = False
-            self._sharing.pass_on([step for step in waiting if step.waiting], now)
-
-    def _start_some(
-        self, step: StepTasks, minions: list[Minion], now: timedelta
-    ) -> None:
-        while step.waiting:
-            task = step.waiting[0]
-            minion = choose_minion(task, minions, self._durations, now)
-            if minion is None:
-                return
-            step.waiting.pop(0)
-            self._place(task, minion, now)
-
-    def _place(self, task: PoolTask, minion: Minion, now: timedelta) -> None:
-        step, entry = task.of, minion.entry
-        task.phase = TaskPhase.PLACED
-        task.last_run = RunNumber(task.last_run + 1)
-        expected = self._durations.expected(step, entry.id, entry.labels)
-        record = RunRecord(
-            task.name,
-            task.last_run,
-            step.needs,
-            now,
-            expected,
-            RunState.STARTING,
-            task,
-        )
-        step.begun = True
-        minion.add(record)
-        self._events.started(minion, record, now - step.arrived)
-        self._roster.session(entry.id).start(record, step.spec)
+    def _may_start(self) -> bool:
+        return self.settled and not self.deposed
 
     # What minions tell
 
