--- a/src/brasstray/batch/outcome.py
+++ b/src/brasstray/batch/outcome.py
@@ -40,6 +40,7 @@
     TOO_LARGE = "too_large"
     NO_QUEUE = "no_queue"
     STOPPING = "stopping"
+    EVACUATED = "evacuated"
 
 
 @dataclass(frozen=True)
--- a/src/brasstray/command/host.py
+++ b/src/brasstray/command/host.py
@@ -14,7 +14,7 @@
 from brasstray.http.metrics_app import STATUS_PATH
 
 if TYPE_CHECKING:
-    from brasstray.host.host_status import OwnedPoolStatus
+    from brasstray.host.host_status import EvacuationStatus, OwnedPoolStatus
 
 # A host answers within milliseconds, or is in trouble.
 PATIENCE_SECONDS = 5.0
@@ -54,6 +54,7 @@
     lines = [
         f"{found.incarnation}: {found.state}, {role}",
         f"  configuration: version {found.config_version}",
+        f"  evacuated: {_evacuation_text(found.evacuations)}",
         f"  jobs at work: {found.jobs}",
     ]
     if found.owned is not None:
@@ -65,6 +66,14 @@
     return "\n".join(lines)
 
 
+def _evacuation_text(found: EvacuationStatus) -> str:
+    if not found.as_of:
+        return "not known"
+    centres = ", ".join(found.data_centres) or "none"
+    heard = f"{found.heard_ms_ago / 1_000:.1f} s ago"
+    return f"{centres}; version {found.as_of} from {found.source}, {heard}"
+
+
 def _pool_lines(owned: OwnedPoolStatus) -> list[str]:
     settled = "" if owned.settled else ", not settled"
     confirmed = f"confirmed {owned.confirmed_ms_ago / 1_000:.1f} s ago"
--- a/src/brasstray/coordinator/coordinator.py
+++ b/src/brasstray/coordinator/coordinator.py
@@ -26,6 +26,7 @@
     from brasstray.coordinator.timing import CoordinatorTiming
     from brasstray.peer.message.tasks_ended import TasksEnded
     from brasstray.peer.message.tasks_returned import TasksReturned
+    from brasstray.pool.pool_load import PoolLoad
 
 _MILLISECOND = timedelta(milliseconds=1)
 # A late answer is of some use to the users until three times the objective has passed.
@@ -110,6 +111,9 @@
         return active
 
     async def _send_first(self, active: ActiveBatch) -> None:
+        if self._pools.all_evacuated():
+            self._refuse_evacuated(active)
+            return
         pool = self._choose(active.batch.id)
         deadline = self._clock.monotonic() + self._timing.pool_patience
         while pool is None and self._clock.monotonic() < deadline:
@@ -126,7 +130,16 @@
     def _choose(self, batch: BatchId) -> PoolId | None:
         reachable = self._pools.reachable()
         if self._home in reachable:
+            # Also while it is evacuated: its owner hears at once where there is room.
             return self._home
+        return self._choose_open(batch, reachable)
+
+    def _choose_open(
+        self, batch: BatchId, pools: dict[PoolId, PoolLoad]
+    ) -> PoolId | None:
+        """Return the best of `pools` that is not evacuated, or one not asked yet."""
+        evacuated = self._pools.is_evacuated
+        reachable = {pool: load for pool, load in pools.items() if not evacuated(pool)}
         if reachable:
             return min(
                 reachable,
@@ -134,7 +147,7 @@
             )
         # Whoever lost the owner of the home pool did so with all hosts around it: the
         # job's id spreads them over the others.
-        unasked = sorted(self._pools.unasked())
+        unasked = sorted(p for p in self._pools.unasked() if not evacuated(p))
         return unasked[crc32(batch.encode()) % len(unasked)] if unasked else None
 
     def _send_ready_steps(self, active: ActiveBatch, pool: PoolId) -> None:
@@ -222,20 +235,60 @@
         active.begun |= message.begun
         if message.in_doubt:
             self._end(active, BatchResult(BatchOutcome.UNKNOWN, GiveUpReason.POOL_LOST))
+        elif message.evacuated:
+            self._move_out(active, message.step, indices, message.pool)
         elif message.pool is None:
             self._refuse(active, len(indices), message.wait_ms)
         else:
-            pools = self._pools
-            known = message.pool in (*pools.reachable(), *pools.unasked())
-            target = message.pool if known else pool
+            target = message.pool if self._is_known(message.pool) else pool
             self._events.moved(active, len(indices), target)
             self._send(active, message.step, indices, target, forwarded=True)
 
+    def _is_known(self, pool: PoolId) -> bool:
+        return pool in self._pools.reachable() or pool in self._pools.unasked()
+
+    def _move_out(
+        self,
+        active: ActiveBatch,
+        number: int,
+        indices: list[int],
+        proposed: PoolId | None,
+    ) -> None:
+        """Send tasks from an evacuated pool to the one proposed, or to another.
+
+        Guards against tasks that go to and fro between pools that were evacuated one
+        after the other: what this host has heard of is at least as new as what their
+        owners have told it with the tasks. The new pool may pass them on once, as any.
+        """
+        target = proposed
+        pools = self._pools
+        if target is None or not self._is_known(target) or pools.is_evacuated(target):
+            target = self._choose_open(active.batch.id, pools.reachable())
+        if target is None:
+            self._refuse_evacuated(active, len(indices))
+            return
+        self._events.moved(active, len(indices), target)
+        self._send(active, number, indices, target)
+
     def _refuse(self, active: ActiveBatch, returned: int, wait_ms: int) -> None:
+        wait = max(self._timing.retry_after, wait_ms * _MILLISECOND)
+        self._give_up(active, returned, GiveUpReason.OVERLOADED, wait)
+
+    def _refuse_evacuated(self, active: ActiveBatch, returned: int = 0) -> None:
+        wait = self._timing.evacuated_retry_after
+        self._give_up(active, returned, GiveUpReason.EVACUATED, wait)
+
+    def _give_up(
+        self,
+        active: ActiveBatch,
+        returned: int,
+        reason: GiveUpReason,
+        wait: timedelta,
+    ) -> None:
+        """End a job of which `returned` tasks, and maybe more, cannot be run."""
         whole = len(active.placed) == returned and not active.begun
         outcome = BatchOutcome.NOT_RUN if whole else BatchOutcome.UNKNOWN
-        wait = max(self._timing.retry_after, wait_ms * _MILLISECOND)
-        self._end(active, BatchResult(outcome, GiveUpReason.OVERLOADED, wait))
+        self._end(active, BatchResult(outcome, reason, wait))
 
     def claim(self, pool: PoolId, sent: frozenset[TaskName] = frozenset()) -> None:
         """Ask again for all tasks at `pool`: its owner or the link to it is new.
--- a/src/brasstray/coordinator/timing.py
+++ b/src/brasstray/coordinator/timing.py
@@ -12,12 +12,14 @@
 
     `pool_patience` is how long a new job waits for any owner, about a takeover.
     `lost_patience` is how long tasks at a pool without an owner in reach are waited
-    for. `retry_after` is told when nothing better is known.
+    for. `retry_after` is told when nothing better is known, `evacuated_retry_after`
+    while every data centre is evacuated, which lasts for several seconds at least.
     """
 
     pool_patience: timedelta = timedelta(milliseconds=300)
     lost_patience: timedelta = timedelta(milliseconds=900)
     retry_after: timedelta = timedelta(seconds=1)
+    evacuated_retry_after: timedelta = timedelta(seconds=5)
     tick: timedelta = timedelta(milliseconds=50)
 
 
--- a/src/brasstray/daemon/pool_daemon.py
+++ b/src/brasstray/daemon/pool_daemon.py
@@ -29,7 +29,7 @@
 from brasstray.peer.websocket_stream import WebSocketOpener, serve_streams
 from brasstray.platform.front_app import FrontApp
 from brasstray.platform.minion_listing import MinionListing
-from brasstray.platform.operator_config import OperatorConfig
+from brasstray.platform.operator_entries import OperatorStore
 from brasstray.platform.platform_minions import PlatformMinions
 from brasstray.platform.platform_store import PlatformStore
 from brasstray.platform.ready_app import ReadyApp
@@ -94,7 +94,7 @@
             random,
             uptime,
             self._store,
-            OperatorConfig(self._store),
+            OperatorStore(self._store, events.entry_ignored),
             MinionListing(self._store, events.entry_ignored),
             PlatformMinions(),
             WebSocketOpener(),
@@ -105,6 +105,7 @@
             outside,
             HostTiming(pool=pool_timing(settings.minions)),
             settings.minions.remote_factor,
+            section.known_centres,
         )
         self._front = HttpServer(FrontApp(self._host))
         self._ready = HttpServer(ReadyApp(self._host))
--- a/src/brasstray/host/current_config.py
+++ b/src/brasstray/host/current_config.py
@@ -5,15 +5,12 @@
 from typing import TYPE_CHECKING
 
 from brasstray.batch.ids import NO_CONFIG, ConfigVersion
-from brasstray.host.config_source import UnreadableConfigError
-from brasstray.store.errors import HistoryLostError, StoreUnavailableError
+from brasstray.host.operator_source import UnreadableConfigError
 
 if TYPE_CHECKING:
     from brasstray.batch.configuration import Configuration
-    from brasstray.clock.clock import Clock
-    from brasstray.host.config_source import ConfigSource, FoundConfig
     from brasstray.host.host_events import HostEvents
-    from brasstray.host.timing import HostTiming
+    from brasstray.host.operator_source import OperatorSource
 
 
 class CurrentConfig:
@@ -23,16 +20,8 @@
     take a change back that callers have seen.
     """
 
-    def __init__(
-        self,
-        source: ConfigSource,
-        clock: Clock,
-        timing: HostTiming,
-        events: HostEvents,
-    ) -> None:
+    def __init__(self, source: OperatorSource, events: HostEvents) -> None:
         self._source = source
-        self._clock = clock
-        self._timing = timing
         self._events = events
         self._current: Configuration | None = None
         self._in_touch = True
@@ -52,6 +41,10 @@
         """Tell whether the store answered when it was last asked, or was not asked."""
         return self._in_touch
 
+    def note_store(self, *, answers: bool) -> None:
+        """Take note of whether the store has answered."""
+        self._in_touch = answers
+
     def adopt(self, found: Configuration | None, source: str) -> bool:
         """Put `found` in force if it is newer; tell whether it was."""
         if found is None or found.version <= self.version:
@@ -75,40 +68,5 @@
             return False
         return True
 
-    async def follow(self) -> None:
-        """Follow the store until cancelled.
-
-        What was read is not read again after a failed call: the store is asked for what
-        came after it. Guards against hosts that fetch a large text with each try while
-        the store, or the way there, fails again and again.
-        """
-        as_of: int | None = None
-        while True:
-            try:
-                found = await self._after(as_of)
-                as_of = found.as_of
-                self._in_touch = True
-                self._events.store_back("configuration")
-                self.adopt(found.configuration, "store")
-            except HistoryLostError:
-                as_of = None
-                self._events.history_lost("configuration")
-                # Guards against a store that loses its history faster than hosts ask
-                # for it: without a pause six hosts made 1,900 calls a second.
-                await self._clock.sleep(self._timing.store_retry)
-            except UnreadableConfigError as error:
-                as_of = error.as_of
-                self._events.config_unreadable("store", str(error))
-                await self._clock.sleep(self._timing.store_retry)
-            except StoreUnavailableError as error:
-                self._in_touch = False
-                self._events.store_lost("configuration", str(error))
-                await self._clock.sleep(self._timing.store_retry)
-
-    async def _after(self, as_of: int | None) -> FoundConfig:
-        if as_of is None:
-            return await self._source.read()
-        return await self._source.wait(as_of, self._timing.config_watch)
-
 
 __all__ = ["CurrentConfig"]
--- a/src/brasstray/host/event_log.py
+++ b/src/brasstray/host/event_log.py
@@ -11,6 +11,7 @@
 from brasstray.pool.look import RunEnd
 
 if TYPE_CHECKING:
+    from brasstray.batch.evacuation_set import EvacuationSet
     from brasstray.batch.ids import ConfigVersion, FencingToken, PoolId
     from brasstray.batch.outcome import BatchResult, GiveUpReason
     from brasstray.coordinator.active_batch import ActiveBatch
@@ -178,11 +179,22 @@
         self._metrics.count_reason("forwarded")
         log_message("brasstray:forwarded", job=step.batch, tasks=count, pool=pool)
 
-    def given_back(self, step: StepTasks, count: int, wait_ms: int) -> None:
+    def moved_out(self, step: StepTasks, count: int, pool: str) -> None:
+        """Tasks were sent to another pool, as their own is evacuated."""
+        self._metrics.count_reason("moved_out")
+        log_message("brasstray:moved_out", job=step.batch, tasks=count, pool=pool)
+
+    def given_back(
+        self, step: StepTasks, count: int, wait_ms: int, *, evacuated: bool
+    ) -> None:
         """Tasks were refused, as they could not end before their caller leaves."""
-        self._metrics.count_reason("given_back")
+        self._metrics.count_reason("evacuated" if evacuated else "given_back")
         log_message(
-            "brasstray:given_back", job=step.batch, tasks=count, wait_ms=wait_ms
+            "brasstray:given_back",
+            job=step.batch,
+            tasks=count,
+            wait_ms=wait_ms,
+            evacuated=evacuated,
         )
 
     def dropped(self, step: StepTasks, why: str) -> None:
@@ -226,6 +238,16 @@
         """A configuration was not understood; the last one stays in force."""
         log_message("brasstray:config_unreadable", source=source, reason=why)
 
+    def evacuations_changed(self, found: EvacuationSet, source: str) -> None:
+        """Another set of data centres gets nothing new."""
+        self._metrics.count_reason("evacuations_changed")
+        log_message(
+            "brasstray:evacuations_changed",
+            data_centres=sorted(found.data_centres),
+            as_of=found.as_of,
+            source=source,
+        )
+
     def request_refused(self, job: str, reason: GiveUpReason, detail: str) -> None:
         """A request was refused before anything was done for it."""
         self._metrics.count_reason(reason.value)
@@ -234,7 +256,7 @@
         )
 
     def entry_ignored(self, name: str, why: str) -> None:
-        """An entry of the store names no minion to use; told when that changes."""
+        """An entry of the store is without effect; told when the reason changes."""
         if self._ignored.get(name) == why:
             return
         if len(self._ignored) >= MOST_IGNORED:
--- a/src/brasstray/host/host_events.py
+++ b/src/brasstray/host/host_events.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
+    from brasstray.batch.evacuation_set import EvacuationSet
     from brasstray.batch.ids import ConfigVersion, FencingToken, PoolId
     from brasstray.batch.outcome import GiveUpReason
     from brasstray.job.ids import HostName
@@ -34,11 +35,14 @@
     def config_unreadable(self, source: str, why: str) -> None:
         """A configuration was not understood; the last one stays in force."""
 
+    def evacuations_changed(self, found: EvacuationSet, source: str) -> None:
+        """Another set of data centres gets nothing new."""
+
     def request_refused(self, job: str, reason: GiveUpReason, detail: str) -> None:
         """A request was refused before anything was done for it."""
 
     def entry_ignored(self, name: str, why: str) -> None:
-        """An entry of the store names no minion to use."""
+        """An entry of the store is another writer's, and without effect."""
 
     def history_lost(self, what: str) -> None:
         """The store has dropped its history; everything is read again."""
--- a/src/brasstray/host/host_status.py
+++ b/src/brasstray/host/host_status.py
@@ -8,9 +8,10 @@
 import msgspec
 
 from brasstray.batch.ids import ConfigVersion, FencingToken, PoolId
-from brasstray.job.ids import HostName, IncarnationId, MinionId
+from brasstray.job.ids import DataCentreName, HostName, IncarnationId, MinionId
 
 if TYPE_CHECKING:
+    from brasstray.host.evacuations import Evacuations
     from brasstray.host.pool_host import PoolHost
     from brasstray.pool.minion import Minion
     from brasstray.pool.owner import PoolOwner
@@ -61,6 +62,19 @@
     in_reach: bool | None
 
 
+class EvacuationStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold which data centres get nothing new, and how that is known.
+
+    `as_of` is the store's version that it was read at, 0 if nobody has told; `source`
+    is the store, or the host that has read it.
+    """
+
+    data_centres: tuple[DataCentreName, ...]
+    as_of: int
+    source: str
+    heard_ms_ago: int
+
+
 class HostStatus(msgspec.Struct, frozen=True, kw_only=True):
     """Hold a host's role, its versions and its peers."""
 
@@ -68,6 +82,7 @@
     incarnation: IncarnationId
     state: str
     config_version: ConfigVersion
+    evacuations: EvacuationStatus
     jobs: int
     owned: OwnedPoolStatus | None
     owners: tuple[OwnerStatus, ...]
@@ -89,6 +104,7 @@
         incarnation=host.identity.incarnation,
         state=_state(host),
         config_version=host.config.version,
+        evacuations=_evacuations(host.evacuations),
         jobs=host.coordinator.active,
         owned=None if owner is None else _owned(owner, host.owned_confirmed_ago),
         owners=tuple(
@@ -104,6 +120,15 @@
     )
 
 
+def _evacuations(found: Evacuations) -> EvacuationStatus:
+    return EvacuationStatus(
+        data_centres=tuple(sorted(found.current.data_centres)),
+        as_of=found.current.as_of,
+        source=found.source,
+        heard_ms_ago=found.heard_ago // _MILLISECOND,
+    )
+
+
 def _state(host: PoolHost) -> str:
     if host.draining:
         return "draining"
--- a/src/brasstray/host/minion_feed.py
+++ b/src/brasstray/host/minion_feed.py
@@ -9,9 +9,9 @@
 
 if TYPE_CHECKING:
     from brasstray.clock.clock import Clock
-    from brasstray.host.config_source import MinionList
     from brasstray.host.current_config import CurrentConfig
     from brasstray.host.host_events import HostEvents
+    from brasstray.host.operator_source import MinionList
     from brasstray.host.requester_link import RequesterLink
     from brasstray.host.requester_links import RequesterLinks
     from brasstray.host.timing import HostTiming
--- /dev/null
+++ b/src/brasstray/host/operator_feed.py
@@ -0,0 +1,68 @@
+"""Follow what operators write into the store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from brasstray.host.store_follower import follow_store
+from brasstray.store.errors import StoreUnavailableError
+
+if TYPE_CHECKING:
+    from brasstray.clock.clock import Clock
+    from brasstray.host.current_config import CurrentConfig
+    from brasstray.host.evacuations import Evacuations
+    from brasstray.host.host_events import HostEvents
+    from brasstray.host.operator_source import OperatorEntries, OperatorSource
+    from brasstray.host.timing import HostTiming
+
+
+class OperatorFeed:
+    """Tell the configuration and the evacuations of what the store has."""
+
+    def __init__(
+        self,
+        source: OperatorSource,
+        config: CurrentConfig,
+        evacuations: Evacuations,
+        clock: Clock,
+        timing: HostTiming,
+        events: HostEvents,
+    ) -> None:
+        self._source = source
+        self._config = config
+        self._evacuations = evacuations
+        self._clock = clock
+        self._timing = timing
+        self._events = events
+
+    async def follow(self) -> None:
+        """Follow the store until cancelled."""
+        await follow_store(
+            "configuration",
+            self._learn_after,
+            self._clock,
+            self._timing.store_retry,
+            self._events,
+        )
+
+    async def _learn_after(self, as_of: int | None) -> int:
+        try:
+            found = await self._after(as_of)
+        except StoreUnavailableError:
+            self._config.note_store(answers=False)
+            raise
+        self._config.note_store(answers=True)
+        # Evacuations first: a configuration that cannot be read must not hide them.
+        self._evacuations.learn(found, whole=as_of is None)
+        if found.unreadable is not None:
+            self._events.config_unreadable("store", found.unreadable)
+        self._config.adopt(found.configuration, "store")
+        return found.as_of
+
+    async def _after(self, as_of: int | None) -> OperatorEntries:
+        if as_of is None:
+            return await self._source.read()
+        return await self._source.wait(as_of, self._timing.config_watch)
+
+
+__all__ = ["OperatorFeed"]
--- a/src/brasstray/host/outside.py
+++ b/src/brasstray/host/outside.py
@@ -15,7 +15,7 @@
     from random import Random
 
     from brasstray.clock.clock import Clock
-    from brasstray.host.config_source import ConfigSource, MinionList
+    from brasstray.host.operator_source import MinionList, OperatorSource
     from brasstray.peer.message_stream import StreamOpener
     from brasstray.pool.minion_calls import MinionCalls
     from brasstray.store.watchable_store import WatchableStore
@@ -36,7 +36,7 @@
     random: Random
     uptime: Callable[[], timedelta]
     store: WatchableStore
-    config: ConfigSource
+    operators: OperatorSource
     minion_list: MinionList
     minions: MinionCalls
     opener: StreamOpener
--- a/src/brasstray/host/ownership.py
+++ b/src/brasstray/host/ownership.py
@@ -19,11 +19,8 @@
     pool_of,
 )
 from brasstray.host.recent_takeovers import RecentTakeovers
-from brasstray.store.errors import (
-    HistoryLostError,
-    StoreConflictError,
-    StoreUnavailableError,
-)
+from brasstray.host.store_follower import follow_store
+from brasstray.store.errors import StoreConflictError, StoreUnavailableError
 from brasstray.store.store import ABSENT
 
 if TYPE_CHECKING:
@@ -32,6 +29,7 @@
 
     from brasstray.batch.ids import PoolId
     from brasstray.clock.clock import Clock
+    from brasstray.host.evacuations import Evacuations
     from brasstray.host.host_events import HostEvents
     from brasstray.host.identity import HostIdentity
     from brasstray.host.pool_directory import PoolDirectory
@@ -61,6 +59,7 @@
         take: Callable[[OwnedPool], None],
         leave: Callable[[str], None],
         succession: Succession,
+        evacuations: Evacuations,
     ) -> None:
         self._pool = pool
         self._identity = identity
@@ -73,6 +72,7 @@
         self._take = take
         self._leave = leave
         self._succession = succession
+        self._evacuations = evacuations
         self._token_held = 0
         self._token_left = 0
         self._confirmed_at = timedelta(0)
@@ -111,23 +111,14 @@
         return entry is not None and entry.version == owned.token
 
     async def follow(self) -> None:
-        """Follow the store's entries until cancelled.
-
-        After a failed call the store is asked for what came since; what was read is
-        read again only if the store has dropped its history, and with a pause.
-        """
-        as_of: int | None = None
-        while True:
-            try:
-                as_of = await self._learn_after(as_of)
-                self._events.store_back("pools")
-            except HistoryLostError:
-                as_of = None
-                self._events.history_lost("pools")
-                await self._clock.sleep(self._timing.store_retry)
-            except StoreUnavailableError as error:
-                self._events.store_lost("pools", str(error))
-                await self._clock.sleep(self._timing.store_retry)
+        """Follow the store's entries until cancelled."""
+        await follow_store(
+            "pools",
+            self._learn_after,
+            self._clock,
+            self._timing.store_retry,
+            self._events,
+        )
 
     async def _learn_after(self, as_of: int | None) -> int:
         """Learn of all pools, or of what came after `as_of`; return what is known."""
@@ -192,10 +183,19 @@
                     await self._directory.wait_for_change()
             else:
                 await self._clock.sleep(self._timing.tick)
-            if self._known and not self._draining and self._is_due():
+            if self._may_claim and self._is_due():
                 await self._claim()
                 self._vacant_since = None
 
+    @property
+    def _may_claim(self) -> bool:
+        """Tell whether this host knows enough to own the pool, and stays.
+
+        Guards against starts in an evacuated data centre by a host that was just
+        started: one that has not read which those are must not order minions.
+        """
+        return self._known and self._evacuations.current.known and not self._draining
+
     def _is_due(self) -> bool:
         if self._token_held or not self._is_vacant():
             self._vacant_since = None
--- a/src/brasstray/host/pool_directory.py
+++ b/src/brasstray/host/pool_directory.py
@@ -18,11 +18,11 @@
 
     from anyio.abc import TaskGroup
 
-    from brasstray.batch.ids import ConfigVersion
     from brasstray.batch.task_name import TaskName
     from brasstray.clock.clock import Clock
     from brasstray.host.host_events import HostEvents
     from brasstray.host.identity import HostIdentity
+    from brasstray.host.operator_knowledge import OperatorKnowledge
     from brasstray.host.owner_record import OwnedPool
     from brasstray.host.timing import HostTiming
     from brasstray.peer.message.run_tasks import RunTasks
@@ -40,12 +40,13 @@
         clock: Clock,
         timing: HostTiming,
         events: HostEvents,
-        version: Callable[[], ConfigVersion],
+        knowledge: OperatorKnowledge,
         take: Callable[[PoolId, PoolMessage], None],
         up: Callable[[PoolId, frozenset[TaskName]], None],
         busy: Callable[[PoolId], bool],
     ) -> None:
         self._identity = identity
+        self._evacuations = knowledge.evacuations
         self._clock = clock
         self._new_link = partial(
             PoolLink,
@@ -54,7 +55,7 @@
             clock=clock,
             timing=timing,
             events=events,
-            version=version,
+            knowledge=knowledge,
             take=take,
             up=up,
             keep=self._keeps,
@@ -164,7 +165,7 @@
 
     def reachable(self) -> dict[PoolId, PoolLoad]:
         """Return the pools whose owners are in reach, with their load."""
-        found = self.loads()
+        found = self._all_loads()
         if self._local_pool is not None:
             found[self._local_pool] = self._local_load()
         return found
@@ -177,6 +178,14 @@
             if pool != self._local_pool and link.may_be_asked
         ]
 
+    def is_evacuated(self, pool: PoolId) -> bool:
+        """Tell whether the minions of `pool` get nothing new."""
+        return self._evacuations.covers(pool)
+
+    def all_evacuated(self) -> bool:
+        """Tell whether no pool is known whose minions get anything new."""
+        return bool(self._owned) and all(map(self.is_evacuated, self._owned))
+
     def tell(self, pool: PoolId, message: PoolMessage) -> None:
         """Send `message` to the owner of `pool`; drop it if that is out of reach."""
         if pool == self._local_pool and self._local is not None:
@@ -187,14 +196,22 @@
     # What the owner of a pool needs
 
     def loads(self) -> dict[PoolId, PoolLoad]:
-        """Return the load of the pools of other hosts that are in reach."""
+        """Return the load of other hosts' pools to which tasks may be sent."""
+        loads = self._all_loads()
+        return {p: load for p, load in loads.items() if not self.is_evacuated(p)}
+
+    def expected(self) -> bool:
+        """Tell whether a pool may be in reach soon to which a link is being opened."""
+        return any(not self.is_evacuated(pool) for pool in self.unasked())
+
+    def _all_loads(self) -> dict[PoolId, PoolLoad]:
         found = {}
         for pool, link in self._links.items():
             state = link.state
             if state is not None and pool != self._local_pool:
                 places = state.places if state.ready else 0
-                left = max(0, places - self._taken.get(pool, 0))
-                found[pool] = PoolLoad(left, state.wait_ms)
+                left = places - self._taken.get(pool, 0)
+                found[pool] = PoolLoad(max(0, left), state.wait_ms, max(0, -left))
         return found
 
     def take_places(self, pool: PoolId, count: int) -> None:
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -11,9 +11,8 @@
 from brasstray.batch.ids import NO_TOKEN, PoolId
 from brasstray.batch.outcome import BatchOutcome, BatchResult, GiveUpReason
 from brasstray.coordinator.coordinator import Coordinator, chain_of
-from brasstray.host.config_exchange import ConfigExchange
-from brasstray.host.current_config import CurrentConfig
 from brasstray.host.minion_feed import MinionFeed
+from brasstray.host.operator_knowledge import OperatorKnowledge
 from brasstray.host.ownership import Ownership
 from brasstray.host.pool_directory import PoolDirectory
 from brasstray.host.pool_move import PoolMove
@@ -39,10 +38,13 @@
 
     from brasstray.batch.batch import Batch
     from brasstray.batch.queue import Queue
+    from brasstray.host.current_config import CurrentConfig
+    from brasstray.host.evacuations import Evacuations
     from brasstray.host.identity import HostIdentity
     from brasstray.host.outside import Events, Outside
     from brasstray.host.owner_record import OwnedPool
     from brasstray.host.timing import HostTiming
+    from brasstray.job.ids import DataCentreName
     from brasstray.peer.message_stream import MessageStream
     from brasstray.peer.pool_messages import PoolMessage
 
@@ -73,6 +75,7 @@
         outside: Outside,
         timing: HostTiming,
         remote_factor: float,
+        data_centres: frozenset[DataCentreName] = frozenset(),
     ) -> None:
         self._identity = identity
         self._outside = outside
@@ -80,14 +83,16 @@
         self._remote_factor = remote_factor
         self._clock = clock = outside.clock
         self._events = events = outside.events
-        self._config = CurrentConfig(outside.config, clock, timing, events)
-        self._exchange = ConfigExchange(self._config, clock, timing, events)
+        self._knowledge = OperatorKnowledge(
+            outside.operators, data_centres, clock, timing, events
+        )
+        self._evacuations = self._knowledge.evacuations
         self._pool = PoolId(str(identity.data_centre))
         self._requesters = RequesterLinks(identity.data_centre)
         self._feed = MinionFeed(
             identity.data_centre,
             outside.minion_list,
-            self._config,
+            self._knowledge.config,
             self._requesters,
             clock,
             timing,
@@ -99,7 +104,7 @@
             clock,
             timing,
             events,
-            lambda: self._config.version,
+            self._knowledge,
             self.take_from_pool,
             lambda pool, sent: self._coordinator.claim(pool, sent),
             lambda pool: self._coordinator.has_tasks_at(pool),
@@ -120,6 +125,7 @@
             self._take_pool,
             self._leave_pool,
             self._succession,
+            self._evacuations,
         )
         self._owner: PoolOwner | None = None
         self._owner_scope: anyio.CancelScope | None = None
@@ -149,7 +155,12 @@
     @property
     def config(self) -> CurrentConfig:
         """Return the configuration in force here."""
-        return self._config
+        return self._knowledge.config
+
+    @property
+    def evacuations(self) -> Evacuations:
+        """Return the data centres that get nothing new, as far as is known here."""
+        return self._evacuations
 
     @property
     def owner(self) -> PoolOwner | None:
@@ -181,7 +192,7 @@
         """Tell whether callers should be sent here."""
         return (
             not self._draining
-            and self._config.current is not None
+            and self.config.current is not None
             and bool(self._directory.reachable() or self._directory.unasked())
         )
 
@@ -210,8 +221,8 @@
         async with anyio.create_task_group() as group:
             self._group = group
             self._directory.open(group)
-            group.start_soon(self._config.follow)
-            group.start_soon(self._exchange.run)
+            group.start_soon(self._knowledge.run)
+            group.start_soon(self._follow_evacuations)
             group.start_soon(self._ownership.follow)
             group.start_soon(self._ownership.claim_when_vacant)
             group.start_soon(self._coordinator.watch)
@@ -276,6 +287,7 @@
             self._events,
             lambda: self._ownership.confirm(owned),
             self._feed.held,
+            lambda: self._evacuations.covers(self._pool),
         )
         self._events.pool_taken(self._pool, owned.token, "claimed")
         self._move.begin()
@@ -308,6 +320,18 @@
         self._events.pool_left(self._pool, owner.token, why)
         self._requesters.tell_state()
 
+    async def _follow_evacuations(self) -> None:
+        """Act on each change, and tell it to the hosts that are linked to this one.
+
+        What waits is moved out, or gets places again, and hosts that the store turns
+        away hear of it within a heartbeat.
+        """
+        while True:
+            await self._evacuations.wait_for_change()
+            if self._owner is not None:
+                self._owner.review()
+            self._requesters.tell_state()
+
     async def _push_loads(self) -> None:
         """Tell the other owners at once when this pool gains room or runs out of it.
 
@@ -342,7 +366,8 @@
             wait_ms=load.wait_ms,
             ready=owner is not None and owner.settled,
             resigning=self._draining or self._move.asked,
-            config_version=self._config.version,
+            config_version=self.config.version,
+            evacuations=self._evacuations.current,
         )
 
     # Messages to the owner
@@ -375,11 +400,11 @@
                 if self._owner is not None:
                     self._feed.tell(link)
                     self._requesters.name_successors()
-                self._exchange.hear(link.name, message.config_version, link.tell)
+                self._knowledge.hear(link.name, message, link.tell)
             case Ping():
-                self._exchange.hear(link.name, message.config_version, link.tell)
+                self._knowledge.hear(link.name, message, link.tell)
             case ConfigWanted() | ConfigPart():
-                self._exchange.take(link.name, message, link.tell)
+                self._knowledge.take(link.name, message, link.tell)
             case RunTasks():
                 if self._owner is not None:
                     self._owner.run_tasks(link, message)
@@ -409,14 +434,14 @@
                 if message.places and self._owner is not None:
                     self._owner.review()
                 tell = partial(self._directory.tell, pool)
-                self._exchange.hear(str(pool), message.config_version, tell)
+                self._knowledge.hear(str(pool), message, tell)
             case Successors() if pool == self._pool:
                 self._succession.name(message.hosts)
             case PoolMinions() if pool == self._pool:
                 self._feed.hear(message.minions)
             case ConfigWanted() | ConfigPart():
                 tell = partial(self._directory.tell, pool)
-                self._exchange.take(str(pool), message, tell)
+                self._knowledge.take(str(pool), message, tell)
 
     async def _watch_freezes(self) -> None:
         """Find out that the process stood still, while others acted for it."""
--- a/src/brasstray/host/pool_link.py
+++ b/src/brasstray/host/pool_link.py
@@ -22,10 +22,11 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-    from brasstray.batch.ids import ConfigVersion, PoolId
+    from brasstray.batch.ids import PoolId
     from brasstray.clock.clock import Clock
     from brasstray.host.host_events import HostEvents
     from brasstray.host.identity import HostIdentity
+    from brasstray.host.operator_knowledge import OperatorKnowledge
     from brasstray.host.owner_record import OwnedPool
     from brasstray.host.timing import HostTiming
     from brasstray.peer.message_stream import StreamOpener
@@ -62,7 +63,7 @@
         clock: Clock,
         timing: HostTiming,
         events: HostEvents,
-        version: Callable[[], ConfigVersion],
+        knowledge: OperatorKnowledge,
         take: Callable[[PoolId, PoolMessage], None],
         up: Callable[[PoolId, frozenset[TaskName]], None],
         keep: Callable[[PoolId], bool],
@@ -76,7 +77,7 @@
         self._clock = clock
         self._timing = timing
         self._events = events
-        self._version = version
+        self._knowledge = knowledge
         self._take_message = take
         self._up = up
         self._keep = keep
@@ -176,7 +177,8 @@
             Hello(
                 host=self._identity.host,
                 incarnation=self._identity.incarnation,
-                config_version=self._version(),
+                config_version=self._knowledge.config.version,
+                evacuations=self._knowledge.evacuations.current,
                 power=self._identity.power,
             )
         )
@@ -237,7 +239,12 @@
             if self._is_idle():
                 self._idle = True
                 scope.cancel()
-            pipe.tell(Ping(config_version=self._version()))
+            pipe.tell(
+                Ping(
+                    config_version=self._knowledge.config.version,
+                    evacuations=self._knowledge.evacuations.current,
+                )
+            )
 
     def _is_idle(self) -> bool:
         if self._keep(self._pool) or self._busy(self._pool):
--- a/src/brasstray/peer/message/hello.py
+++ b/src/brasstray/peer/message/hello.py
@@ -2,13 +2,14 @@
 
 from __future__ import annotations
 
+from brasstray.batch.evacuation_set import NEVER_READ, EvacuationSet
 from brasstray.batch.ids import ConfigVersion
 from brasstray.job.ids import HostName, IncarnationId
 from brasstray.peer.message.host_message import HostMessage
 
 
 class Hello(HostMessage, frozen=True, kw_only=True, tag="hello"):
-    """Say who opens a link, and which configuration it has.
+    """Say who opens a link, and what it knows of the operators' wishes.
 
     `power` is the share of a core that the host has, times the core's speed.
     """
@@ -16,6 +17,7 @@
     host: HostName
     incarnation: IncarnationId
     config_version: ConfigVersion
+    evacuations: EvacuationSet = NEVER_READ
     power: float = 1.0
 
 
--- a/src/brasstray/peer/message/ping.py
+++ b/src/brasstray/peer/message/ping.py
@@ -2,14 +2,16 @@
 
 from __future__ import annotations
 
+from brasstray.batch.evacuation_set import NEVER_READ, EvacuationSet
 from brasstray.batch.ids import ConfigVersion
 from brasstray.peer.message.host_message import HostMessage
 
 
 class Ping(HostMessage, frozen=True, kw_only=True, tag="ping"):
-    """Show that the sender lives, and which configuration it has."""
+    """Show that the sender lives, and what it knows of the operators' wishes."""
 
     config_version: ConfigVersion
+    evacuations: EvacuationSet = NEVER_READ
 
 
 __all__ = ["Ping"]
--- a/src/brasstray/peer/message/pool_state.py
+++ b/src/brasstray/peer/message/pool_state.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from brasstray.batch.evacuation_set import NEVER_READ, EvacuationSet
 from brasstray.batch.ids import ConfigVersion, FencingToken, PoolId
 from brasstray.job.ids import IncarnationId
 from brasstray.peer.message.host_message import HostMessage
@@ -24,6 +25,7 @@
     ready: bool
     resigning: bool = False
     config_version: ConfigVersion
+    evacuations: EvacuationSet = NEVER_READ
 
 
 __all__ = ["PoolState"]
--- a/src/brasstray/peer/message/tasks_returned.py
+++ b/src/brasstray/peer/message/tasks_returned.py
@@ -11,7 +11,8 @@
 
     Without a pool, the tasks cannot be run before their caller leaves; a new job would
     wait for `wait_ms`. `begun` says that a task of the step was sent to a minion
-    before, whatever became of it; `in_doubt` that they may run out of reach.
+    before, whatever became of it; `in_doubt` that they may run out of reach;
+    `evacuated` that nothing may start in the pool's data centre.
     """
 
     batch: BatchId
@@ -21,6 +22,7 @@
     wait_ms: int = 0
     begun: bool = False
     in_doubt: bool = False
+    evacuated: bool = False
 
 
 __all__ = ["TasksReturned"]
--- a/src/brasstray/platform/configuration_body.py
+++ b/src/brasstray/platform/configuration_body.py
@@ -9,7 +9,7 @@
 from brasstray.batch.configuration import BodyLimits, Configuration
 from brasstray.batch.ids import ConfigVersion, QueueName
 from brasstray.batch.queue import Queue
-from brasstray.host.config_source import UnreadableConfigError
+from brasstray.host.operator_source import UnreadableConfigError
 from brasstray.job.ids import ServiceName
 from brasstray.platform.body import Body, UnreadableBodyError
 
--- /dev/null
+++ b/src/brasstray/platform/operator_entries.py
@@ -0,0 +1,98 @@
+"""Read what operators write into the platform's store."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from brasstray.host.operator_source import OperatorEntries, UnreadableConfigError
+from brasstray.job.ids import DataCentreName
+from brasstray.platform.body import Body, UnreadableBodyError
+from brasstray.platform.configuration_body import parse_configuration
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable
+    from datetime import timedelta
+
+    from brasstray.batch.configuration import Configuration
+    from brasstray.platform.platform_store import PlatformStore
+    from brasstray.store.entry import StoreEntry
+
+OPERATOR_PREFIX = "op/"
+CONFIG_KEY = f"{OPERATOR_PREFIX}config"
+EVACUATE_PREFIX = f"{OPERATOR_PREFIX}evacuate/"
+
+
+class EvacuateBody(Body, frozen=True, kw_only=True):
+    """Ask that the data centre that the key names gets nothing new; no fields yet."""
+
+
+class OperatorStore:
+    """Read and watch all that operators write with one call.
+
+    One watch more for each host and kind of entry would be a third more calls to the
+    store. A change of one key brings that key alone, so that the configuration does not
+    travel again with another.
+    """
+
+    def __init__(
+        self, store: PlatformStore, ignored: Callable[[str, str], None]
+    ) -> None:
+        self._store = store
+        self._ignored = ignored
+
+    async def read(self) -> OperatorEntries:
+        """Return everything."""
+        found = await self._store.snapshot(OPERATOR_PREFIX)
+        return self._entries(found.entries, (), found.as_of)
+
+    async def wait(self, after: int, wait: timedelta) -> OperatorEntries:
+        """Return the next changes after a version, or none after `wait`."""
+        changes = await self._store.watch(OPERATOR_PREFIX, after, wait)
+        return self._entries(changes.written, changes.removed, changes.as_of)
+
+    def parse(self, text: bytes) -> Configuration:
+        """Return the configuration in `text`."""
+        return parse_configuration(text)
+
+    def _entries(
+        self, written: tuple[StoreEntry, ...], removed: tuple[str, ...], as_of: int
+    ) -> OperatorEntries:
+        unreadable = None
+        configuration = None
+        for entry in written:
+            if entry.name == CONFIG_KEY:
+                try:
+                    configuration = parse_configuration(entry.value)
+                except UnreadableConfigError as error:
+                    unreadable = str(error)
+        return OperatorEntries(
+            configuration,
+            as_of,
+            frozenset(self._evacuated(written)),
+            frozenset(map(_centre, filter(_is_evacuation, removed))),
+            unreadable,
+        )
+
+    def _evacuated(self, written: tuple[StoreEntry, ...]) -> Iterable[DataCentreName]:
+        """Return the data centres in `written`, without what cannot be read.
+
+        An entry of another writer must hide neither the others nor a configuration.
+        """
+        for entry in filter(lambda entry: _is_evacuation(entry.name), written):
+            try:
+                EvacuateBody.decode_strictly(entry.value)
+            except UnreadableBodyError as error:
+                self._ignored(entry.name, str(error))
+            else:
+                yield _centre(entry.name)
+
+
+def _is_evacuation(key: str) -> bool:
+    return key.startswith(EVACUATE_PREFIX)
+
+
+def _centre(key: str) -> DataCentreName:
+    return DataCentreName(key.removeprefix(EVACUATE_PREFIX))
+
+
+__all__ = ["OperatorStore"]
--- a/src/brasstray/platform/platform_store.py
+++ b/src/brasstray/platform/platform_store.py
@@ -22,12 +22,13 @@
     StoreConflictError,
     StoreUnavailableError,
 )
-from brasstray.store.watchable_store import Changes, Snapshot
+from brasstray.store.watchable_store import Snapshot
 
 if TYPE_CHECKING:
     from brasstray.http.reply import HttpReply
     from brasstray.platform.body import Body
     from brasstray.store.entry import StoreEntry
+    from brasstray.store.watchable_store import Changes
 
     _B = TypeVar("_B", bound=Body)
 
@@ -96,12 +97,7 @@
         response = await self._call("GET", target, patience=wait + WATCH_MARGIN)
         if response.status == 410:
             raise HistoryLostError(prefix)
-        found = _decode(Events, response)
-        return Changes(
-            tuple(item.entry() for item in found.events if not item.removed),
-            tuple(item.key for item in found.events if item.removed),
-            found.as_of,
-        )
+        return _decode(Events, response).changes()
 
     async def aclose(self) -> None:
         """Close every connection."""
--- a/src/brasstray/platform/store_bodies.py
+++ b/src/brasstray/platform/store_bodies.py
@@ -8,6 +8,7 @@
 
 from brasstray.platform.body import Body
 from brasstray.store.entry import StoreEntry
+from brasstray.store.watchable_store import Changes
 
 
 class Item(Body, frozen=True, kw_only=True):
@@ -45,6 +46,19 @@
     events: list[Item] = msgspec.field(default_factory=list, name="events")
     as_of: int
 
+    def changes(self) -> Changes:
+        """Return what the events come to: only the last one of each key counts.
+
+        Guards against a key that was removed and written again, or the other way
+        round, within one answer: it would be told as both, in no order.
+        """
+        latest = {item.key: item for item in self.events}.values()
+        return Changes(
+            tuple(item.entry() for item in latest if not item.removed),
+            tuple(item.key for item in latest if item.removed),
+            self.as_of,
+        )
+
 
 class Expectation(Body, frozen=True, kw_only=True):
     """Name the revision at which a key must be; 0 means that there is none."""
--- a/src/brasstray/pool/dispatcher.py
+++ b/src/brasstray/pool/dispatcher.py
@@ -35,7 +35,11 @@
     """Start what there is room for, once all that is to be read now was read.
 
     Ends and requests come in bursts. Going over all that waits after each of them took
-    most of an overloaded owner's time. `may_start` tells whether starts are allowed.
+    most of an overloaded owner's time.
+
+    `may_start` tells whether starts are allowed yet. While the data centre is
+    `evacuated`, what waits is moved out, whatever made it wait: a new request, a claim,
+    a failed run or a straggler that was stopped.
     """
 
     def __init__(
@@ -47,6 +51,7 @@
         clock: Clock,
         events: OwnerEvents,
         may_start: Callable[[], bool],
+        evacuated: Callable[[], bool],
     ) -> None:
         self._book = book
         self._roster = roster
@@ -55,6 +60,7 @@
         self._clock = clock
         self._events = events
         self._may_start = may_start
+        self._evacuated = evacuated
         self._wake = anyio.Event()
         self._changed = anyio.Event()
         self._review_due = False
@@ -101,6 +107,9 @@
         if not waiting:
             return
         now = self._clock.monotonic()
+        if self._evacuated():
+            self._sharing.move_out(waiting, now)
+            return
         smallest = min(step.needs.cpu_millis for step in waiting)
         minions = [
             minion
--- a/src/brasstray/pool/load_sharing.py
+++ b/src/brasstray/pool/load_sharing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -42,6 +43,7 @@
         others: OtherPools,
         clock: Clock,
         events: OwnerEvents,
+        evacuated: Callable[[], bool],
     ) -> None:
         self._book = book
         self._minions = minions
@@ -49,6 +51,7 @@
         self._others = others
         self._clock = clock
         self._events = events
+        self._evacuated = evacuated
         self._typical_cpu: float | None = None
 
     def weigh(self, needs: Resources) -> None:
@@ -79,21 +82,64 @@
 
     def _pass_on_step(self, step: StepTasks, loads: dict[PoolId, PoolLoad]) -> None:
         if not step.forwarded:
-            for pool, load in sorted(loads.items(), key=lambda item: -item[1].places):
-                count = min(load.places, len(step.waiting))
-                if count <= 0:
-                    break
-                self._forward(step, count, pool)
-                loads[pool] = PoolLoad(load.places - count, load.wait_ms)
-                if not step.waiting:
-                    break
-
-    def _forward(self, step: StepTasks, count: int, pool: PoolId) -> None:
+            self._fill_places(step, loads)
+
+    def _fill_places(
+        self,
+        step: StepTasks,
+        loads: dict[PoolId, PoolLoad],
+        *,
+        evacuated: bool = False,
+    ) -> None:
+        for pool, load in sorted(loads.items(), key=lambda item: -item[1].places):
+            count = min(load.places, len(step.waiting))
+            if count <= 0:
+                break
+            self._forward(step, count, pool, evacuated=evacuated)
+            loads[pool] = replace(load, places=load.places - count)
+
+    def move_out(self, left: list[StepTasks], now: timedelta) -> None:
+        """Send all waiting tasks to other pools, as none may start here.
+
+        Guards against jobs that wait out their time in an evacuated data centre: also
+        where no place is free, they wait in the queue of another pool. Without any
+        other pool they are given back at once.
+        """
+        loads = self._others.loads()
+        for step in left:
+            if loads:
+                self._fill_places(step, loads, evacuated=True)
+                self._queue_elsewhere(step, loads)
+            elif not self._others.expected() or self._is_hopeless(step, now):
+                self._give_back(step, timedelta(0), evacuated=True)
+
+    def _queue_elsewhere(self, step: StepTasks, loads: dict[PoolId, PoolLoad]) -> None:
+        """Send what is left of `step` where it should wait least."""
+        if not step.waiting:
+            return
+        count = len(step.waiting)
+        expected = self._durations.expected(step, None, ())
+        # The other pools are taken to be as large as this one.
+        each = expected * step.needs.cpu_millis / max(1, self._held_cpu())
+        pool = min(
+            loads,
+            key=lambda p: loads[p].wait_ms * _MILLISECOND + loads[p].excess * each,
+        )
+        self._forward(step, count, pool, evacuated=True)
+        load = loads[pool]
+        loads[pool] = replace(load, excess=load.excess + count)
+
+    def _forward(
+        self, step: StepTasks, count: int, pool: PoolId, *, evacuated: bool
+    ) -> None:
         tasks, step.waiting = step.waiting[-count:], step.waiting[:-count]
         for task in tasks:
             del step.tasks[task.name.index]
         self._others.take_places(pool, count)
-        self._events.forwarded(step, count, pool)
+        if evacuated:
+            self._events.moved_out(step, count, pool)
+        else:
+            self._events.forwarded(step, count, pool)
         indices = tuple(task.name.index for task in tasks)
         step.requester.tell(
             TasksReturned(
@@ -102,6 +148,7 @@
                 indices=indices,
                 pool=pool,
                 begun=step.begun,
+                evacuated=evacuated,
             )
         )
         self._book.forget_if_empty(step)
@@ -118,10 +165,12 @@
         whole = len(step.tasks) == step.width
         return end > (min(step.useful, step.limit) if whole else step.limit)
 
-    def _give_back(self, step: StepTasks, wait: timedelta) -> None:
+    def _give_back(
+        self, step: StepTasks, wait: timedelta, *, evacuated: bool = False
+    ) -> None:
         wait_ms = max(wait // _MILLISECOND, self.load().wait_ms)
         indices = tuple(task.name.index for task in step.waiting)
-        self._events.given_back(step, len(indices), wait_ms)
+        self._events.given_back(step, len(indices), wait_ms, evacuated=evacuated)
         step.waiting.clear()
         for index in indices:
             del step.tasks[index]
@@ -132,12 +181,15 @@
                 indices=indices,
                 wait_ms=wait_ms,
                 begun=step.begun,
+                evacuated=evacuated,
             )
         )
         self._book.forget_if_empty(step)
 
     def load(self) -> PoolLoad:
         """Return the room, and the wait for a task that came now."""
+        if self._evacuated():
+            return PoolLoad()
         now = self._clock.monotonic()
         usable = [m for m in self._minions() if m.usable(now)]
         waiting = sum(
--- a/src/brasstray/pool/other_pools.py
+++ b/src/brasstray/pool/other_pools.py
@@ -10,11 +10,17 @@
 
 
 class OtherPools(Protocol):
-    """Tell the load of other pools that are in reach, as they last told it."""
+    """Tell the load of other pools that are in reach, as they last told it.
+
+    Pools of evacuated data centres are none to send tasks to, and left out.
+    """
 
     def loads(self) -> dict[PoolId, PoolLoad]:
         """Return the loads by pool."""
 
+    def expected(self) -> bool:
+        """Tell whether a pool may be in reach soon to which a link is being opened."""
+
     def take_places(self, pool: PoolId, count: int) -> None:
         """Count `count` places of `pool` as used until it tells its load again."""
 
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -46,7 +46,6 @@
     from brasstray.pool.step_tasks import StepTasks
     from brasstray.pool.timing import PoolTiming
 
-_MILLISECOND = timedelta(milliseconds=1)
 # How often waiting tasks are looked at for what time alone changes: a suspension that
 # ends, a job that has become hopeless.
 TIME_STEP = timedelta(milliseconds=20)
@@ -70,6 +69,7 @@
         events: OwnerEvents,
         confirm: Callable[[], Awaitable[bool]],
         inherited: Iterable[MinionEntry] | None,
+        evacuated: Callable[[], bool] = lambda: False,
     ) -> None:
         self._pool = pool
         self._token = token
@@ -102,7 +102,13 @@
             lambda minion, record: self._roster.session(minion.entry.id).stop(record),
         )
         self._sharing = LoadSharing(
-            self._book, lambda: self.minions, self._durations, others, clock, events
+            self._book,
+            lambda: self.minions,
+            self._durations,
+            others,
+            clock,
+            events,
+            evacuated,
         )
         self._lag = LoopLag()
         self._first_calls = anyio.Semaphore(FIRST_CALLS_AT_ONCE)
@@ -116,6 +122,7 @@
             clock,
             events,
             self._may_start,
+            evacuated,
         )
 
     @property
--- a/src/brasstray/pool/owner_events.py
+++ b/src/brasstray/pool/owner_events.py
@@ -70,8 +70,16 @@
     def forwarded(self, step: StepTasks, count: int, pool: str) -> None:
         """Tasks were sent on to a pool that has room."""
 
-    def given_back(self, step: StepTasks, count: int, wait_ms: int) -> None:
-        """Tasks were refused, as they could not end before their caller leaves."""
+    def moved_out(self, step: StepTasks, count: int, pool: str) -> None:
+        """Tasks were sent to another pool, as their own is evacuated."""
+
+    def given_back(
+        self, step: StepTasks, count: int, wait_ms: int, *, evacuated: bool
+    ) -> None:
+        """Tasks were refused, as they could not end before their caller leaves.
+
+        Where the data centre is evacuated, no other pool was in reach to send them to.
+        """
 
     def dropped(self, step: StepTasks, why: str) -> None:
         """The tasks of a step are not wanted any more."""
--- a/src/brasstray/pool/pool_load.py
+++ b/src/brasstray/pool/pool_load.py
@@ -7,10 +7,14 @@
 
 @dataclass(frozen=True)
 class PoolLoad:
-    """Hold what other hosts learn of a pool."""
+    """Hold what other hosts learn of a pool.
+
+    `excess` is how many tasks were sent there beyond its places since it told them.
+    """
 
     places: int = 0
     wait_ms: int = 0
+    excess: int = 0
 
 
 __all__ = ["PoolLoad"]
--- a/src/brasstray/settings/pool_settings.py
+++ b/src/brasstray/settings/pool_settings.py
@@ -9,6 +9,7 @@
 import msgspec
 from result import Err, Ok, Result
 
+from brasstray.job.ids import DataCentreName
 from brasstray.settings.endpoint import Endpoint
 from brasstray.settings.problem import SettingsProblem
 from brasstray.settings.struct_section import read_struct
@@ -18,18 +19,30 @@
 
 
 Name = Annotated[str, msgspec.Meta(pattern=r"^[A-Za-z0-9_-]{1,64}$")]
+Names = Annotated[str, msgspec.Meta(pattern=r"^([A-Za-z0-9_-]{1,64}(, *|$))*$")]
 
 
 class HostSection(msgspec.Struct, frozen=True, kw_only=True):
-    """Say who the host is and where it listens."""
+    """Say who the host is and where it listens.
+
+    `data_centres` names all of them, separated by commas: operators can evacuate no
+    other. Without it every name is taken for one.
+    """
 
     name: Name
     data_centre: Name
+    data_centres: Names = ""
     callers: Endpoint
     ready: Endpoint
     peers: Endpoint
     metrics: Endpoint
 
+    @property
+    def known_centres(self) -> frozenset[DataCentreName]:
+        """Return the names in `data_centres`."""
+        names = (name.strip() for name in self.data_centres.split(","))
+        return frozenset(DataCentreName(name) for name in names if name)
+
 
 class StoreSection(msgspec.Struct, frozen=True, kw_only=True):
     """Say where the platform's store is."""
--- a/src/brasstray/trace/cause.py
+++ b/src/brasstray/trace/cause.py
@@ -49,6 +49,10 @@
             back = _last(timeline, lambda line: line.kind == "given_back")
             meaning = "an owner foresaw that the work waiting ahead takes too long"
             return Cause(back, meaning)
+        case GiveUpReason.EVACUATED.value:
+            changed = _last(lines, _told_before(answer, "evacuations_changed"))
+            meaning = "operators have evacuated the data centres that its host reaches"
+            return Cause(changed or answer, meaning)
         case GiveUpReason.NO_POOL.value:
             lost = _before(answer, lines, ("owner_lost", "pool_left", "store_lost"))
             return Cause(lost, "its host had no owner of any pool in reach")
@@ -112,6 +116,13 @@
     return lambda line: line.kind == "run_ended" and line.text("end") == end.value
 
 
+def _told_before(answer: LogLine, kind: str) -> Callable[[LogLine], bool]:
+    """Return what finds a line of the answering host, however old."""
+    return lambda line: (
+        line.kind == kind and line.host == answer.host and line.at <= answer.at
+    )
+
+
 def _before(
     answer: LogLine, lines: Sequence[LogLine], kinds: tuple[str, ...]
 ) -> LogLine | None:
--- a/src/brasstray_standins/pool_system.py
+++ b/src/brasstray_standins/pool_system.py
@@ -17,9 +17,9 @@
 from brasstray.batch.resources import Resources
 from brasstray.batch.step import Step
 from brasstray.clock.loop import LoopClock
-from brasstray.host.config_source import FoundConfig, UnreadableConfigError
 from brasstray.host.event_log import EventLog
 from brasstray.host.identity import HostIdentity
+from brasstray.host.operator_source import OperatorEntries, UnreadableConfigError
 from brasstray.host.outside import Outside
 from brasstray.host.pool_host import PoolHost
 from brasstray.host.timing import HostTiming
@@ -33,14 +33,18 @@
 from brasstray_standins.memory_streams import MemoryOpener, MemoryStream, Network
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from anyio.abc import TaskGroup
 
     from brasstray.batch.outcome import BatchResult
     from brasstray.metrics.pool_metrics import PoolMetrics
+    from brasstray.store.entry import StoreEntry
 
 SERVICE = ServiceName("verlofdienst")
-CONFIG_KEY = "op/config"
-EVACUATION_PREFIX = "op/evacuate/"
+OPERATOR_PREFIX = "op/"
+CONFIG_KEY = f"{OPERATOR_PREFIX}config"
+EVACUATION_PREFIX = f"{OPERATOR_PREFIX}evacuate/"
 TICK = timedelta(milliseconds=1)
 STRONG_POWER = 4.0
 STRONG_LINK = 8.0
@@ -65,21 +69,31 @@
     link_rate: float | None = None
 
 
-class _StoreConfig:
-    """Read a configuration that holds a version only."""
+class _StoreOperators:
+    """Read a configuration that holds a version only, and evacuations."""
 
     def __init__(self, store: StoreView) -> None:
         self._store = store
 
-    async def read(self) -> FoundConfig:
-        found = await self._store.snapshot(CONFIG_KEY)
-        value = found.entries[-1].value if found.entries else b""
-        return FoundConfig(self.parse(value) if value else None, found.as_of)
-
-    async def wait(self, after: int, wait: timedelta) -> FoundConfig:
-        changes = await self._store.watch(CONFIG_KEY, after, wait)
-        value = changes.written[-1].value if changes.written else b""
-        return FoundConfig(self.parse(value) if value else None, changes.as_of)
+    async def read(self) -> OperatorEntries:
+        found = await self._store.snapshot(OPERATOR_PREFIX)
+        return self._entries(found.entries, (), found.as_of)
+
+    async def wait(self, after: int, wait: timedelta) -> OperatorEntries:
+        changes = await self._store.watch(OPERATOR_PREFIX, after, wait)
+        return self._entries(changes.written, changes.removed, changes.as_of)
+
+    def _entries(
+        self, written: tuple[StoreEntry, ...], removed: tuple[str, ...], as_of: int
+    ) -> OperatorEntries:
+        values = {entry.name: entry.value for entry in written}
+        text = values.pop(CONFIG_KEY, None)
+        return OperatorEntries(
+            self.parse(text) if text else None,
+            as_of,
+            _centres(name for name, value in values.items() if value == b"{}"),
+            _centres(removed),
+        )
 
     def parse(self, text: bytes) -> Configuration:
         try:
@@ -89,6 +103,12 @@
         return Configuration(ConfigVersion(version), (usual_queue(),), text=text)
 
 
+def _centres(names: Iterable[str]) -> frozenset[DataCentreName]:
+    """Return the data centres that the names of entries on evacuations end in."""
+    found = (name.partition(EVACUATION_PREFIX) for name in names)
+    return frozenset(DataCentreName(end) for _, prefix, end in found if prefix)
+
+
 @dataclass
 class _MinionList:
     store: StoreView
@@ -240,13 +260,14 @@
             self.random,
             self.clock.monotonic,
             view,
-            _StoreConfig(view),
+            _StoreOperators(view),
             _MinionList(view, self),
             calls,
             MemoryOpener(self.network, name, clock, gate),
             EventLog(self.metrics),
         )
-        host = PoolHost(identity, outside, HostTiming(), remote_factor=1.5)
+        centres = frozenset(map(DataCentreName, self.centres))
+        host = PoolHost(identity, outside, HostTiming(), 1.5, centres)
         scope = anyio.CancelScope()
         running = RunningHost(host, calls, gate, scope, self.group)
         self.hosts[name] = running
--- a/tests/coordinator/test_coordinator.py
+++ b/tests/coordinator/test_coordinator.py
@@ -35,6 +35,7 @@
         default_factory=lambda: {HOME: PoolLoad(4), AWAY: PoolLoad(4)}
     )
     told: list = field(default_factory=list)
+    evacuated: set[PoolId] = field(default_factory=set)
 
     def reachable(self):
         return dict(self.loads)
@@ -42,6 +43,12 @@
     def unasked(self):
         return []
 
+    def is_evacuated(self, pool):
+        return pool in self.evacuated
+
+    def all_evacuated(self):
+        return bool(self.loads) and self.evacuated >= set(self.loads)
+
     def tell(self, pool, message):
         self.told.append((pool, message))
 
@@ -234,3 +241,46 @@
     assert result.reason is GiveUpReason.TOO_LATE
     assert 1.9 < took < 2.1
     assert pools.stops() == [HOME]
+
+
+def returned_evacuated(pool):
+    return TasksReturned(batch=JOB, step=0, indices=(0, 1), pool=pool, evacuated=True)
+
+
+def test_tasks_from_an_evacuated_pool_may_be_passed_on_once_more():
+    # The next pool may be full by the time they come, while a third has room.
+    def story(coordinator, pools):
+        coordinator.take_returned(HOME, returned_evacuated(AWAY))
+
+    _, _, pools = with_coordinator(story, usual_batch(JOB, 2))
+    assert [(p, m.forwarded) for p, m in pools.runs()] == [(HOME, False), (AWAY, False)]
+
+
+def test_a_job_is_refused_once_its_pools_are_evacuated_one_after_the_other():
+    # A job waits in a data centre that is emptied, goes to another one and is sent back
+    # from there, as that is emptied too. It must not go to and fro until its caller
+    # leaves: nothing of it has run, and she is told when to come back.
+    def story(coordinator, pools):
+        pools.evacuated.add(HOME)
+        coordinator.take_returned(HOME, returned_evacuated(AWAY))
+        pools.evacuated.add(AWAY)
+        coordinator.take_returned(AWAY, returned_evacuated(HOME))
+
+    result, took, pools = with_coordinator(story, usual_batch(JOB, 2))
+    assert (result.outcome, result.reason) == (
+        BatchOutcome.NOT_RUN,
+        GiveUpReason.EVACUATED,
+    )
+    assert result.retry_after >= timedelta(seconds=1)
+    assert took < 0.1
+    assert len(pools.runs()) == 2
+
+
+def test_a_job_goes_where_its_host_knows_an_owner():
+    # The owner that gives it back names a pool that this host has not heard of yet.
+    def story(coordinator, pools):
+        pools.evacuated.add(HOME)
+        coordinator.take_returned(HOME, returned_evacuated(PoolId("unheard of")))
+
+    _, _, pools = with_coordinator(story, usual_batch(JOB, 2))
+    assert [pool for pool, _ in pools.runs()] == [HOME, AWAY]
--- /dev/null
+++ b/tests/host/test_evacuations.py
@@ -0,0 +1,80 @@
+"""Check which set of evacuated data centres a host takes for the truth."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+
+from brasstray.batch.evacuation_set import EvacuationSet
+from brasstray.host.evacuations import Evacuations
+from brasstray.host.operator_source import OperatorEntries
+
+
+class Clock:
+    def monotonic(self):
+        return timedelta(0)
+
+
+class Notes:
+    def __init__(self):
+        self.seen = []
+
+    def __getattr__(self, name):
+        return lambda *args: self.seen.append((name, *args))
+
+
+def whole(as_of, *centres):
+    return lambda known: known.learn(
+        OperatorEntries(None, as_of, frozenset(centres)), whole=True
+    )
+
+
+def change(as_of, evacuated="", resumed=""):
+    entries = OperatorEntries(None, as_of, frozenset(evacuated), frozenset(resumed))
+    return lambda known: known.learn(entries, whole=False)
+
+
+def told(as_of, *centres):
+    found = EvacuationSet(as_of, frozenset(centres))
+    return lambda known: known.adopt(found, "another")
+
+
+@pytest.mark.parametrize(
+    ("news", "as_of", "centres"),
+    [
+        ([], 0, ""),
+        ([whole(5)], 5, ""),
+        ([whole(5, "a")], 5, "a"),
+        ([whole(5), change(6, "a")], 6, "a"),
+        ([whole(5, "a"), change(6, "b"), change(8, "", "a")], 8, "b"),
+        ([whole(5), told(7, "a")], 7, "a"),
+        # What another host has read earlier takes no newer change back.
+        ([whole(5, "a"), change(9, "", "a"), told(8, "a")], 9, ""),
+        ([whole(5), change(9, "a"), told(8)], 9, "a"),
+        # The store brings what another host has told already, and something newer.
+        ([whole(5), told(7, "a"), change(6, "a")], 7, "a"),
+        ([whole(5), told(7, "a"), change(8, "ab")], 8, "ab"),
+        ([whole(5, "a"), told(7), change(7, "", "a")], 7, ""),
+        # The history was lost: the whole set is read again.
+        ([whole(5, "a"), whole(9, "b")], 9, "b"),
+        # A data centre that is not known.
+        ([whole(5, "x", "a"), change(6, "y")], 6, "a"),
+    ],
+)
+def test_the_set_that_was_read_last_counts(news, as_of, centres):
+    known = Evacuations(frozenset("ab"), Clock(), Notes())
+    for piece in news:
+        piece(known)
+    assert known.current == EvacuationSet(as_of, frozenset(centres))
+    assert known.current.known == bool(as_of)
+    assert {pool for pool in "abxy" if known.covers(pool)} == set(centres)
+
+
+def test_a_change_is_told_once_and_a_later_version_of_the_same_set_is_not():
+    notes = Notes()
+    known = Evacuations(frozenset("ab"), Clock(), notes)
+    for piece in (whole(5), told(6), told(7, "a"), change(8, "a"), told(9, "a")):
+        piece(known)
+    seen = [(found.as_of, source) for name, found, source in notes.seen]
+    assert seen == [(5, "store"), (7, "another")]
--- a/tests/host/test_host_status.py
+++ b/tests/host/test_host_status.py
@@ -41,6 +41,25 @@
     assert [name.startswith("dc1") for name in asking] == [False, False, True]
 
 
+def test_a_host_shows_what_is_evacuated_and_who_told(play_pools):
+    async def story(system):
+        before = host_status(system.hosts["dc0-h0"].host).evacuations
+        system.store.cut.add("dc0-h0")
+        system.evacuate("dc1")
+        await system.clock.sleep(timedelta(seconds=1))
+        return before, {
+            name: host_status(running.host).evacuations
+            for name, running in system.hosts.items()
+        }
+
+    (before, found), _ = play_pools(story)
+    assert (before.data_centres, before.source) == ((), "store")
+    for name, status in found.items():
+        assert status.data_centres == ("dc1",)
+        assert status.as_of > before.as_of
+        assert (status.source == "store") == (name != "dc0-h0")
+
+
 def test_a_host_that_leaves_says_so(play_pools):
     async def story(system):
         host = system.hosts[system.other()].host
--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -9,7 +9,7 @@
 
 from brasstray.batch.ids import BatchId, RunNumber
 from brasstray.batch.task_name import TaskName
-from brasstray.host.config_source import UnreadableConfigError
+from brasstray.host.operator_source import UnreadableConfigError
 from brasstray.platform.configuration_body import parse_configuration
 from brasstray.platform.job_bodies import (
     UnreadableJobError,
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -8,7 +8,7 @@
 from hypothesis import given, settings, strategies as st
 
 from brasstray.batch.configuration import Configuration
-from brasstray.host.config_source import UnreadableConfigError
+from brasstray.host.operator_source import UnreadableConfigError
 from brasstray.host.owner_record import owned_pool
 from brasstray.peer.errors import UnreadableMessageError
 from brasstray.peer.pool_messages import decode_frame
--- /dev/null
+++ b/tests/platform/test_operator_entries.py
@@ -0,0 +1,95 @@
+"""Check what is read of the operators' entries."""
+
+from __future__ import annotations
+
+import json
+from datetime import timedelta
+
+import anyio
+import pytest
+
+from brasstray.platform.operator_entries import OperatorStore
+from brasstray.platform.store_bodies import Events, Item
+from brasstray.store.entry import StoreEntry
+from brasstray.store.watchable_store import Changes, Snapshot
+
+CONFIG = json.dumps({"Version": 4}).encode()
+
+
+class Store:
+    def __init__(self, written, removed=()):
+        self.written = tuple(StoreEntry(key, value, 7) for key, value in written)
+        self.removed = tuple(removed)
+
+    async def snapshot(self, prefix):
+        return Snapshot(self.written, 9)
+
+    async def watch(self, prefix, after, wait):
+        return Changes(self.written, self.removed, 9)
+
+
+def read(written, removed=()):
+    ignored = []
+    source = OperatorStore(
+        Store(written, removed), lambda name, why: ignored.append(name)
+    )
+    return anyio.run(source.wait, 3, timedelta(seconds=1)), ignored
+
+
+@pytest.mark.parametrize(
+    ("written", "version", "evacuated", "unreadable"),
+    [
+        ([], None, set(), False),
+        ([("op/config", CONFIG)], 4, set(), False),
+        ([("op/evacuate/a", b"{}")], None, {"a"}, False),
+        ([("op/config", CONFIG), ("op/evacuate/a", b"{}")], 4, {"a"}, False),
+        ([("op/config", b"["), ("op/evacuate/a", b"{}")], None, {"a"}, True),
+        ([("op/evacuate/a", b'{"New": 1}')], None, {"a"}, False),
+        ([("op/wave/1", b'{"Wave": 1}')], None, set(), False),
+    ],
+)
+def test_each_kind_of_entry_is_read_beside_the_others(
+    written, version, evacuated, unreadable
+):
+    found, ignored = read(written)
+    assert (found.configuration and found.configuration.version) == version
+    assert found.evacuated == evacuated
+    assert (found.unreadable is not None) == unreadable
+    assert ignored == []
+
+
+@pytest.mark.parametrize("value", [b"", b"[", b"3", b"null", b"\xff", b"[]"])
+def test_an_entry_that_cannot_be_read_hides_no_other(value):
+    # Another program writes under the operators' names. Nobody asked for that data
+    # centre to be emptied, and one that an operator did ask for must still be seen.
+    found, ignored = read([("op/evacuate/a", value), ("op/evacuate/b", b"{}")])
+    assert found.evacuated == {"b"}
+    assert ignored == ["op/evacuate/a"]
+
+
+def test_removed_entries_resume_their_data_centres():
+    found, _ = read([], ["op/evacuate/a", "op/wave/3", "op/config"])
+    assert found.resumed == {"a"}
+
+
+@pytest.mark.parametrize(
+    ("events", "written", "removed"),
+    [
+        ("put", ["k"], []),
+        ("put gone", [], ["k"]),
+        ("gone put", ["k"], []),
+        ("put gone put", ["k"], []),
+        ("gone put gone", [], ["k"]),
+    ],
+)
+def test_the_last_event_of_a_key_counts(events, written, removed):
+    # An operator empties a data centre, takes it back and empties it again, while a
+    # host's watch is away. Both changes come in one answer: told as written and removed
+    # at once, the data centre would be used while the operator believes it to be empty.
+    items = [
+        Item(key="k", revision=number, removed=event == "gone")
+        for number, event in enumerate(events.split())
+    ]
+    found = Events(events=items, as_of=9).changes()
+    assert [entry.name for entry in found.written] == written
+    assert list(found.removed) == removed
--- a/tests/trace/test_trace.py
+++ b/tests/trace/test_trace.py
@@ -70,6 +70,14 @@
         ],
         ("owner_lost", 4.0),
     ),
+    "its data centres are evacuated": (
+        [
+            line(1.0, "a2", "evacuations_changed", data_centres=["a", "b"], as_of=7),
+            line(1.1, "a3", "evacuations_changed", data_centres=["a", "b"], as_of=7),
+            answer(9.0, "not_run", "evacuated"),
+        ],
+        ("evacuations_changed", 1.0),
+    ),
     "its host stood still": (
         [
             line(5.0, "a2", "stood_still", milliseconds=900),
