Use minions that are slow after their start last, and learn nothing from them

Cause: a data centre that was evacuated may come back cold; its minions' entries tell how much longer (ColdLeftMs), which was not read. Runs on them would have counted as stragglers, their minions as suspects, and their durations as the queue's.

The time left is left out of comparisons of entries, so that owners do not tell their successors of all minions at every read.

--- a/src/brasstray/platform/minion_listing.py
+++ b/src/brasstray/platform/minion_listing.py
@@ -22,6 +22,8 @@
 SERVERS_PREFIX = "servers/"
 _DRAINING = {"ready": False, "draining": True}
 _Amount = Annotated[int, msgspec.Meta(ge=0)]
+# What nobody's minion takes to warm up; a figure beyond it would not be one.
+LONGEST_COLD_MS = 600_000
 # An id is sent as a header to the minion, so nothing may be in it that ends one.
 _ID = re.compile(r"[!-~]{1,200}")
 
@@ -35,7 +37,10 @@
 
 
 class ServerBody(Body, frozen=True, kw_only=True):
-    """Describe a minion; its id is the key's last part only."""
+    """Describe a minion; its id is the key's last part only.
+
+    `cold_left_ms` counts from when the entry was written.
+    """
 
     service: str
     address: str
@@ -43,6 +48,7 @@
     state: str
     capacity: CapacityBody
     labels: tuple[str, ...] = ()
+    cold_left_ms: float = 0
 
 
 class MinionListing:
@@ -92,6 +98,7 @@
         Resources(body.capacity.cpu, body.capacity.mem_mb, body.capacity.gpu),
         body.labels,
         _DRAINING[body.state],
+        max(0, int(min(body.cold_left_ms, LONGEST_COLD_MS))),
     )
 
 
--- a/src/brasstray/pool/dispatcher.py
+++ b/src/brasstray/pool/dispatcher.py
@@ -155,6 +155,7 @@
             expected,
             RunState.STARTING,
             task,
+            cold=minion.is_cold(now),
         )
         step.begun = True
         minion.add(record)
--- a/src/brasstray/pool/minion.py
+++ b/src/brasstray/pool/minion.py
@@ -49,11 +49,21 @@
         self.reach = Reach.NEW
         self.health = MinionHealth()
         self.runs: dict[tuple[TaskName, RunNumber], RunRecord] = {}
+        self._cold_until = timedelta(0)
         self._clear_from = timedelta(0)
         self._used = Resources()
         self._unsized = 0
         self._gone: deque[tuple[TaskName, RunNumber]] = deque(maxlen=ENDS_REMEMBERED)
 
+    def take_entry(self, entry: MinionEntry, now: timedelta) -> None:
+        """Take what the minion said of itself last, as read at `now`."""
+        self.entry = entry
+        self._cold_until = now + timedelta(milliseconds=entry.cold_left_ms)
+
+    def is_cold(self, now: timedelta) -> bool:
+        """Tell whether the minion is still slow after its start at `now`."""
+        return now < self._cold_until
+
     def fence(self, clear_from: timedelta) -> None:
         """Take note that the minion has seen the token of its owner.
 
--- a/src/brasstray/pool/minion_entry.py
+++ b/src/brasstray/pool/minion_entry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 # Imported also at run time: messages between hosts carry entries, and check them.
 from brasstray.batch.resources import Resources
@@ -11,7 +11,12 @@
 
 @dataclass(frozen=True)
 class MinionEntry:
-    """Hold one incarnation of a minion; `id` changes when it restarts."""
+    """Hold one incarnation of a minion; `id` changes when it restarts.
+
+    `cold_left_ms` is how much longer it is slow after its start. It goes down all the
+    time, so that entries that differ in it alone count as equal: nobody needs to be
+    told of that.
+    """
 
     id: MinionId
     service: ServiceName
@@ -21,6 +26,7 @@
     capacity: Resources
     labels: tuple[str, ...]
     draining: bool
+    cold_left_ms: int = field(default=0, compare=False)
 
 
 __all__ = ["MinionEntry"]
--- a/src/brasstray/pool/placement.py
+++ b/src/brasstray/pool/placement.py
@@ -17,6 +17,9 @@
 # How much a minion that would be left with unusable room counts against one that is
 # faster: a whole empty minion weighs as much as a run 0.3 times longer.
 FIT_WEIGHT = 0.3
+# A minion that is slow after its start gets a task only where no other has room. How
+# slow it is nobody says; a run on it counts as twice as long.
+COLD_WEIGHT = 1.0
 
 
 class Rank(IntEnum):
@@ -62,6 +65,8 @@
         cost = ratio + FIT_WEIGHT * unused
         if entry.id in task.avoided:
             cost += 1.0
+        if minion.is_cold(now):
+            cost += COLD_WEIGHT
         if best is None or cost < best_cost:
             best, best_cost = minion, cost
     return best
--- a/src/brasstray/pool/roster.py
+++ b/src/brasstray/pool/roster.py
@@ -62,14 +62,14 @@
     def update(self, entries: Iterable[MinionEntry]) -> None:
         """Take the minions that the platform lists."""
         listed = {entry.id: entry for entry in entries}
+        now = self._clock.monotonic()
         for minion_id, entry in listed.items():
             session = self._sessions.get(minion_id)
             if session is None:
                 self._add(entry)
             else:
-                session.minion.entry = entry
+                session.minion.take_entry(entry, now)
             self._missing_since.pop(minion_id, None)
-        now = self._clock.monotonic()
         for minion_id in [known for known in self._sessions if known not in listed]:
             since = self._missing_since.setdefault(minion_id, now)
             # Guards against entries that lapse while the store is away though their
@@ -78,7 +78,9 @@
                 self._remove(minion_id)
 
     def _add(self, entry: MinionEntry) -> None:
-        self._sessions[entry.id] = self._begin(Minion(entry))
+        minion = Minion(entry)
+        minion.take_entry(entry, self._clock.monotonic())
+        self._sessions[entry.id] = self._begin(minion)
 
     def _remove(self, minion_id: MinionId) -> None:
         session = self._sessions[minion_id]
--- a/src/brasstray/pool/run_judge.py
+++ b/src/brasstray/pool/run_judge.py
@@ -39,6 +39,10 @@
         task = record.task
         if task is None or record.state is not RunState.ACTIVE or not record.expected:
             return False
+        if minion.is_cold(now):
+            # Slow as it said it would be: stopping its runs would waste their work, and
+            # whoever is suspected for it is missing when a data centre comes back cold.
+            return False
         step, where = task.of, minion.entry.id
         siblings = step.pace_elsewhere(where)
         step.paces[where] = pace(record, now)
--- a/src/brasstray/pool/run_record.py
+++ b/src/brasstray/pool/run_record.py
@@ -33,7 +33,8 @@
 
     `task` is None for a run that an earlier owner started and nobody has claimed yet,
     or that is no longer wanted. `size_known` is false until a run of an earlier owner
-    is claimed: nobody else can tell what it uses.
+    is claimed: nobody else can tell what it uses. `cold` marks a run that began while
+    its minion was slow after its start.
     """
 
     name: TaskName
@@ -45,6 +46,7 @@
     task: PoolTask | None
     percent: int = 0
     size_known: bool = True
+    cold: bool = False
 
 
 __all__ = ["RunRecord", "RunState"]
--- a/src/brasstray/pool/run_tracker.py
+++ b/src/brasstray/pool/run_tracker.py
@@ -136,7 +136,9 @@
                 self._book.queue(task)
 
     def _learn(self, minion: Minion, record: RunRecord, task: PoolTask) -> None:
-        if not record.expected:
+        if not record.expected or record.cold:
+            # A run on a minion that was slow after its start tells neither how long
+            # the queue's tasks take nor how fast the minion is once it is warm.
             return
         where = minion.entry.id
         took = self._clock.monotonic() - record.began
--- /dev/null
+++ b/tests/pool/test_cold_minions.py
@@ -0,0 +1,144 @@
+"""Check what becomes of tasks while minions are slow after their start.
+
+The pattern is a data centre that was empty and comes back: all its minions are cold for
+some seconds, under the usual load.
+"""
+
+from __future__ import annotations
+
+import json
+from datetime import timedelta
+
+import pytest
+from tests.pool.test_placement import NOW, minion, ms, step
+
+from brasstray.batch.ids import RunNumber
+from brasstray.job.ids import MinionId
+from brasstray.platform.minion_listing import minion_entry
+from brasstray.pool.durations import Durations
+from brasstray.pool.look import EndedRun, RunEnd
+from brasstray.pool.minion_entry import MinionEntry
+from brasstray.pool.placement import choose_minion
+from brasstray.pool.pool_task import TaskPhase
+from brasstray.pool.run_judge import RunJudge
+from brasstray.pool.run_record import RunRecord, RunState
+from brasstray.pool.run_tracker import RunTracker
+from brasstray.pool.task_book import TaskBook
+from brasstray.store.entry import StoreEntry
+
+
+class Clock:
+    def __init__(self):
+        self.now = NOW
+
+    def monotonic(self):
+        return self.now
+
+
+class Silent:
+    def __getattr__(self, name):
+        return lambda *_, **__: None
+
+
+def cold(made, left_ms):
+    entry = made.entry
+    fields = {name: getattr(entry, name) for name in entry.__dataclass_fields__}
+    made.take_entry(MinionEntry(**{**fields, "cold_left_ms": left_ms}), NOW)
+    return made
+
+
+def at_work(where, made, began=NOW):
+    task = made.waiting.pop()
+    task.phase = TaskPhase.PLACED
+    record = RunRecord(
+        task.name,
+        RunNumber(1),
+        made.needs,
+        began,
+        ms(60),
+        RunState.ACTIVE,
+        task,
+        cold=where.is_cold(began),
+    )
+    where.add(record)
+    return record
+
+
+@pytest.mark.parametrize(
+    ("others", "chosen"),
+    [
+        # Warm before cold, also where the fit is worse.
+        ([cold(minion("a", used=7_000), 5_000), minion("b")], "b"),
+        ([cold(minion("a"), 0), minion("b", used=7_000)], "b"),
+        # A cold one rather than none.
+        ([cold(minion("a"), 5_000), minion("b", used=12_000)], "a"),
+    ],
+)
+def test_warm_minions_go_first(others, chosen):
+    made = step()
+    found = choose_minion(made.waiting[0], others, Durations(1.5), NOW)
+    assert found.entry.id == chosen
+
+
+def test_a_minion_is_warm_once_its_time_is_over():
+    made = cold(minion("a"), 2_000)
+    assert made.is_cold(NOW + ms(1_999))
+    assert not made.is_cold(NOW + ms(2_000))
+
+
+@pytest.mark.parametrize(("left_ms", "ratio"), [(5_000, 1.0), (0, 1.2)])
+def test_no_durations_are_learned_from_cold_minions(left_ms, ratio):
+    # A data centre comes back cold, and each run takes five times as long as usual. If
+    # that were taken for the queue's or the minions' own speed, jobs would be refused,
+    # and the data centre left unused, for seconds after it is warm.
+    durations, clock = Durations(1.5), Clock()
+    book = TaskBook(clock, Silent())
+    where, made = cold(minion("a"), left_ms), step()
+    made.requester = Silent()
+    judge = RunJudge(lambda: [where], Silent())
+    tracker = RunTracker(
+        book, judge, durations, clock, Silent(), lambda: False, lambda *_: None
+    )
+    record = at_work(where, made)
+    clock.now += ms(300)
+    tracker.see(where, (), (EndedRun(1, record.name, record.run, RunEnd.DONE),))
+    assert durations.ratio(step(), None, ()) == pytest.approx(ratio, abs=0.1)
+    learned = durations.ratio(step(), MinionId("a"), ())
+    assert (learned > 1.0) == (left_ms == 0)
+
+
+@pytest.mark.parametrize(("left_ms", "stopped"), [(5_000, False), (0, True)])
+def test_a_run_on_a_cold_minion_is_no_straggler(left_ms, stopped):
+    # It is five times as slow as expected, as its minion said it would be. Stopping it
+    # would waste its work, and a suspected minion would be missing for longer.
+    where, made = cold(minion("a"), left_ms), step()
+    record = at_work(where, made)
+    record.percent = 50
+    judge = RunJudge(lambda: [where], Silent())
+    now = NOW + timedelta(milliseconds=200)
+    assert judge.should_stop(where, record, now) is stopped
+    assert where.health.suspected is stopped
+
+
+@pytest.mark.parametrize(
+    ("told", "left_ms"),
+    [(None, 0), (0, 0), (2_500, 2_500), (12.7, 12), (-3, 0), (1e300, 600_000)],
+)
+def test_a_minion_says_how_long_it_is_cold(told, left_ms):
+    body = {
+        "Service": "s",
+        "Address": "10.0.0.1:80",
+        "Zone": "z",
+        "State": "ready",
+        "Capacity": {"Cpu": 16_000, "MemMb": 32_768},
+    }
+    if told is not None:
+        body["ColdLeftMs"] = told
+    entry = StoreEntry("servers/i-1", json.dumps(body).encode(), 7)
+    assert minion_entry(entry).cold_left_ms == left_ms
+
+
+def test_entries_that_differ_in_the_cold_time_alone_are_equal():
+    # Otherwise an owner would tell its successors of all minions at every read.
+    made = minion("a")
+    assert made.entry == cold(minion("a"), 700).entry
