Leave minions alone for a while that come back from a silence

After an order without an answer that is followed by an answer, an extension of leases may be held up for 13 s, so what lapses there meanwhile is in doubt; and each time that they were back they got tasks again.

--- a/src/brasstray/pool/minion_health.py
+++ b/src/brasstray/pool/minion_health.py
@@ -24,6 +24,7 @@
     FAILURES = "failures"
     STRAGGLING = "straggling"
     UNHEALTHY = "unhealthy"
+    SILENCE = "silence"
 
 
 class MinionHealth:
--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -75,6 +75,7 @@
         self._acknowledged = 0
         self._scope = anyio.CancelScope()
         self._unanswered_at: timedelta | None = None
+        self._silent_since = timedelta(0)
         self._newest_look_ms = 0
         self._answers = 0
         self._unsettled: set[tuple[TaskName, RunNumber]] = set()
@@ -118,6 +119,9 @@
         for name, run in sorted(self._unsettled):
             await self._call_stop(name, run)
             self._unsettled.discard((name, run))
+        if self._minion.reach is Reach.SILENT:
+            silent = self._clock.monotonic() - self._silent_since
+            self._owner.take_back(self._minion, silent)
         self._minion.reach = Reach.HELD
         self._owner.reach_minion(self._minion)
 
@@ -161,6 +165,7 @@
         """Ask until the minion responds; once every lease is over, its runs are."""
         if self._minion.reach is Reach.HELD:
             self._minion.reach = Reach.SILENT
+            self._silent_since = self._clock.monotonic()
             self._owner.reach_minion(self._minion)
         self._unsettled |= {
             key
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -341,6 +341,10 @@
         self._events.reach_changed(minion)
         self.dispatch()
 
+    def take_back(self, minion: Minion, silent: timedelta) -> None:
+        """Take note that `minion` is about to be in reach after a silence."""
+        self._judge.note_back(minion, silent, self._clock.monotonic())
+
     async def confirm(self) -> bool:
         """Tell whether the store says that this owner still has the pool.
 
--- a/src/brasstray/pool/run_judge.py
+++ b/src/brasstray/pool/run_judge.py
@@ -2,15 +2,16 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from brasstray.pool.minion import Reach
 from brasstray.pool.minion_health import Evidence
 from brasstray.pool.run_record import RunState
 from brasstray.pool.straggling import SIBLINGS_PATIENCE, pace, straggles
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from datetime import timedelta
 
     from brasstray.pool.minion import Minion
     from brasstray.pool.owner_events import OwnerEvents
@@ -22,6 +23,15 @@
 MINIONS_THAT_ABSOLVE = 2
 
 
+# Below this a minion was silent for a few lost answers, and its runs go on.
+SILENCE_THAT_CONVICTS = timedelta(milliseconds=300)
+# If so many of a pool's minions are silent at once, it is the owner's own way to them
+# that was cut. They are back within LATEST_RETURN of one another then: each is asked
+# at least every 400 ms, eight at a time.
+SILENT_SHARE_THAT_ABSOLVES = 0.5
+LATEST_RETURN = timedelta(seconds=1)
+
+
 class RunJudge:
     """Suspect minions on evidence, and tell which runs are better stopped."""
 
@@ -30,6 +40,7 @@
     ) -> None:
         self._minions = minions
         self._events = events
+        self._returns: list[timedelta] = []
 
     def should_stop(self, minion: Minion, record: RunRecord, now: timedelta) -> bool:
         """Tell whether a run is so slow that its task is better run elsewhere.
@@ -85,6 +96,26 @@
         minion.health.suspend(now)
         self._events.suspected(minion, Evidence.UNHEALTHY)
 
+    def note_back(self, minion: Minion, silent: timedelta, now: timedelta) -> None:
+        """Take note that `minion` answers again after it was silent for so long.
+
+        Guards against jobs given up for a minion that comes and goes: what is sent
+        there the next time is at work out of reach again, and an order that had no
+        answer meanwhile leaves in doubt for seconds when its leases are over. It is
+        tried again after a while, each time for longer.
+        """
+        if silent < SILENCE_THAT_CONVICTS:
+            return
+        self._returns = [at for at in self._returns if now - at < LATEST_RETURN]
+        minions = self._minions()
+        out_of_reach = sum(one.reach is Reach.SILENT for one in minions)
+        together = out_of_reach + len(self._returns)
+        self._returns.append(now)
+        if together >= SILENT_SHARE_THAT_ABSOLVES * len(minions):
+            return
+        minion.health.suspend(now)
+        self._events.suspected(minion, Evidence.SILENCE)
+
     def note_hopeless(self, task: PoolTask) -> None:
         """Hold a task that failed for good on several minions against none of them."""
         failed_on = [m for m in self._minions() if m.entry.id in task.avoided]
