Keep requests for a moment until a host that has just started knows its queues

Ways: refusing at once (standing); listening later, which resets connections, and callers come back 1.3 s later; keeping the request until the configuration is there, at most until 0.4 s after the start, then refusing at once as before (kept). While the store is away a caller waits at most that long for the same answer.

--- a/src/brasstray/host/current_config.py
+++ b/src/brasstray/host/current_config.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+import anyio
+
 from brasstray.batch.ids import NO_CONFIG, ConfigVersion
 from brasstray.host.operator_source import UnreadableConfigError
 
@@ -25,6 +27,7 @@
         self._events = events
         self._current: Configuration | None = None
         self._in_touch = True
+        self._known = anyio.Event()
 
     @property
     def current(self) -> Configuration | None:
@@ -41,6 +44,10 @@
         """Tell whether the store answered when it was last asked, or was not asked."""
         return self._in_touch
 
+    async def wait_known(self) -> None:
+        """Wait until there is a configuration."""
+        await self._known.wait()
+
     def note_store(self, *, answers: bool) -> None:
         """Take note of whether the store has answered."""
         self._in_touch = answers
@@ -50,6 +57,7 @@
         if found is None or found.version <= self.version:
             return False
         self._current = found
+        self._known.set()
         self._events.config_adopted(found.version, source)
         return True
 
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -37,6 +37,7 @@
     from anyio.abc import TaskGroup
 
     from brasstray.batch.batch import Batch
+    from brasstray.batch.configuration import Configuration
     from brasstray.batch.queue import Queue
     from brasstray.host.current_config import CurrentConfig
     from brasstray.host.evacuations import Evacuations
@@ -136,6 +137,7 @@
             self._pool, identity.power, self._requesters, clock, events
         )
         self._leaves_at: timedelta | None = None
+        self._created_at = clock.monotonic()
 
     @property
     def identity(self) -> HostIdentity:
@@ -252,6 +254,20 @@
         await self._clock.sleep(time_left)
         self._coordinator.end_all()
 
+    async def first_config(self) -> Configuration | None:
+        """Return the configuration in force, after a moment's wait if there is none.
+
+        Guards against callers who are turned away by hosts that were all just started,
+        in the moment between listening and the store's answer. Later than that nobody
+        knows when one will come, and they are told at once.
+        """
+        if self.config.current is None:
+            since = self._clock.monotonic() - self._created_at
+            left = max(timedelta(0), self._timing.config_hold - since)
+            with anyio.move_on_after(left.total_seconds()):
+                await self.config.wait_known()
+        return self.config.current
+
     async def run_job(
         self, batch: Batch, queue: Queue, patience: timedelta
     ) -> BatchResult:
--- a/src/brasstray/host/timing.py
+++ b/src/brasstray/host/timing.py
@@ -33,6 +33,9 @@
     1.4 of the two seconds, in which a change must be in force, to fetch it instead.
     `config_part` is how long a part may take that another host was asked for, about a
     takeover.
+    `config_hold` is for how long after its start a host keeps requests that come before
+    it knows a configuration; the store brings one within some 10 ms, or 0.2 s where it
+    is large and the link narrow.
     `load_push` is how often other owners may be told of a change of room.
     `tick` is how often what time changes is looked at while a takeover is due, a pool
     is owned or a job is at work, and `calm_tick` otherwise.
@@ -53,6 +56,7 @@
     takeover_memory: timedelta = _ms(10_000)
     config_head_start: timedelta = _ms(300)
     config_part: timedelta = _ms(600)
+    config_hold: timedelta = _ms(400)
     config_watch: timedelta = _ms(1_500)
     pool_watch: timedelta = _ms(2_500)
     store_retry: timedelta = _ms(150)
--- a/src/brasstray/platform/front_app.py
+++ b/src/brasstray/platform/front_app.py
@@ -55,7 +55,7 @@
         await response.send(send)
 
     async def _respond(self, scope: Scope, receive: Receive) -> HttpResponse | None:
-        config = self._host.config.current
+        config = await self._host.first_config()
         events = self._host.events
         job = scope["path"].rpartition("/")[2]
         if config is None:
