--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -11,6 +11,9 @@
 from brasstray.batch.ids import NO_TOKEN, PoolId
 from brasstray.batch.outcome import BatchOutcome, BatchResult, GiveUpReason
 from brasstray.coordinator.coordinator import Coordinator, chain_of
+from brasstray.host.freeze_watch import FreezeWatch
+from brasstray.host.load_push import LoadPush
+from brasstray.host.local_requester import LocalRequester
 from brasstray.host.minion_feed import MinionFeed
 from brasstray.host.operator_knowledge import OperatorKnowledge
 from brasstray.host.ownership import Ownership
@@ -52,21 +55,6 @@
 _MILLISECOND = timedelta(milliseconds=1)
 
 
-class _LocalRequester:
-    """Pass what the own pool tells to the coordinator of the same process."""
-
-    def __init__(self, host: PoolHost, pool: PoolId) -> None:
-        self._host = host
-        self._pool = pool
-        self.name = str(host.identity.host)
-
-    def tell(self, message: PoolMessage) -> None:
-        self._host.take_from_pool(self._pool, message)
-
-    def tell_later(self, message: PoolMessage) -> None:
-        self.tell(message)
-
-
 class PoolHost:
     """Join coordinator, ownership and owner of one host."""
 
@@ -130,14 +118,22 @@
         )
         self._owner: PoolOwner | None = None
         self._owner_scope: anyio.CancelScope | None = None
-        self._local = _LocalRequester(self, self._pool)
+        self._local = LocalRequester(
+            identity.host, partial(self.take_from_pool, self._pool)
+        )
         self._group: TaskGroup | None = None
         self._draining = False
         self._move = PoolMove(
             self._pool, identity.power, self._requesters, clock, events
         )
+        self._load_push = LoadPush(
+            clock, timing, lambda: self._owner, self._tell_other_owners
+        )
+        self._freezes = FreezeWatch(
+            clock, outside.uptime, timing, events, self._is_at_work, self._distrust
+        )
         self._leaves_at: timedelta | None = None
-        self._created_at = clock.monotonic()
+        self._began_at: timedelta | None = None
 
     @property
     def identity(self) -> HostIdentity:
@@ -220,6 +216,7 @@
 
     async def run(self) -> None:
         """Serve until cancelled."""
+        self._began_at = self._clock.monotonic()
         async with anyio.create_task_group() as group:
             self._group = group
             self._directory.open(group)
@@ -228,8 +225,8 @@
             group.start_soon(self._ownership.follow)
             group.start_soon(self._ownership.claim_when_vacant)
             group.start_soon(self._coordinator.watch)
-            group.start_soon(self._watch_freezes)
-            group.start_soon(self._push_loads)
+            group.start_soon(self._freezes.run)
+            group.start_soon(self._load_push.run)
             group.start_soon(self._move.watch, self._may_move)
 
     def drain(self, time_left: timedelta | None = None) -> None:
@@ -262,7 +259,8 @@
         knows when one will come, and they are told at once.
         """
         if self.config.current is None:
-            since = self._clock.monotonic() - self._created_at
+            now = self._clock.monotonic()
+            since = now - self._began_at if self._began_at is not None else timedelta(0)
             left = max(timedelta(0), self._timing.config_hold - since)
             with anyio.move_on_after(left.total_seconds()):
                 await self.config.wait_known()
@@ -348,25 +346,8 @@
                 self._owner.review()
             self._requesters.tell_state()
 
-    async def _push_loads(self) -> None:
-        """Tell the other owners at once when this pool gains room or runs out of it.
-
-        A place is free for some 10 ms under load: with heartbeats alone, tasks waited
-        in one data centre while places stood empty in another.
-        """
-        told = 0
-        while True:
-            if self._owner is None:
-                await self._clock.sleep(self._timing.ping)
-                continue
-            await self._owner.wait_for_change()
-            await self._clock.sleep(self._timing.load_push)
-            places = self._load().places
-            if places > told or (told and not places):
-                told = places
-                self._requesters.tell_state(self._directory.owns_other_pool)
-            else:
-                told = min(told, places)
+    def _tell_other_owners(self) -> None:
+        self._requesters.tell_state(self._directory.owns_other_pool)
 
     def _load(self) -> PoolLoad:
         return self._owner.load() if self._owner is not None else PoolLoad()
@@ -459,29 +440,20 @@
                 tell = partial(self._directory.tell, pool)
                 self._knowledge.take(str(pool), message, tell)
 
-    async def _watch_freezes(self) -> None:
-        """Find out that the process stood still, while others acted for it."""
-        last = self._outside.uptime()
-        while True:
-            at_work = self._owner is not None or self._coordinator.active
-            timing = self._timing
-            pause = timing.tick if at_work else timing.calm_tick
-            await self._clock.sleep(pause)
-            now = self._outside.uptime()
-            stood = now - last
-            last = now
-            if stood - pause >= timing.late:
-                self._events.loop_late((stood - pause) // _MILLISECOND)
-            if stood < self._timing.freeze:
-                continue
-            # Guards against orders of an owner that was suspended while another took
-            # its pool: minions that the other has not reached yet would obey. What
-            # the coordinator asked for is gone too, since owners heard nothing of it.
-            self._events.stood_still(stood // _MILLISECOND)
-            if self._owner is not None:
-                self._ownership.drop()
-                self._leave_pool("stood still")
-            self._coordinator.end_all()
+    def _is_at_work(self) -> bool:
+        return self._owner is not None or self._coordinator.active > 0
+
+    def _distrust(self) -> None:
+        """Drop the pool and every job, after standing still for too long.
+
+        Guards against orders of an owner that was suspended while another took its
+        pool: minions that the other has not reached yet would obey. What the
+        coordinator asked for is gone too, since owners heard nothing of it.
+        """
+        if self._owner is not None:
+            self._ownership.drop()
+            self._leave_pool("stood still")
+        self._coordinator.end_all()
 
 
 __all__ = ["PoolHost"]
