Let load sharing itself tell that its data centre is evacuated

Tests of evacuations, load sharing, overload, flapping, pools, coordinator, trace and daemons pass; lint and types too.

--- a/src/brasstray/pool/load_sharing.py
+++ b/src/brasstray/pool/load_sharing.py
@@ -73,29 +73,21 @@
         wait = timedelta(0)
         for step in left:
             expected = self._durations.expected(step, None, ())
-            self._pass_on_step(step, loads)
+            if not step.forwarded:
+                self._fill_places(step, loads)
             if step.waiting and self._is_hopeless(step, now + wait + expected):
                 self._give_back(step, wait)
             # Whoever comes after waits until this step's tasks are through.
             work = expected * len(step.waiting)
             wait += work * step.needs.cpu_millis / max(1, capacity)
 
-    def _pass_on_step(self, step: StepTasks, loads: dict[PoolId, PoolLoad]) -> None:
-        if not step.forwarded:
-            self._fill_places(step, loads)
-
-    def _fill_places(
-        self,
-        step: StepTasks,
-        loads: dict[PoolId, PoolLoad],
-        *,
-        evacuated: bool = False,
-    ) -> None:
+    def _fill_places(self, step: StepTasks, loads: dict[PoolId, PoolLoad]) -> None:
+        """Send tasks of `step` where places are free, most of them first."""
         for pool, load in sorted(loads.items(), key=lambda item: -item[1].places):
             count = min(load.places, len(step.waiting))
             if count <= 0:
                 break
-            self._forward(step, count, pool, evacuated=evacuated)
+            self._forward(step, count, pool)
             loads[pool] = replace(load, places=load.places - count)
 
     def move_out(self, left: list[StepTasks], now: timedelta) -> None:
@@ -108,10 +100,10 @@
         loads = self._others.loads()
         for step in left:
             if loads:
-                self._fill_places(step, loads, evacuated=True)
+                self._fill_places(step, loads)
                 self._queue_elsewhere(step, loads)
             elif not self._others.expected() or self._is_hopeless(step, now):
-                self._give_back(step, timedelta(0), evacuated=True)
+                self._give_back(step, timedelta(0))
 
     def _queue_elsewhere(self, step: StepTasks, loads: dict[PoolId, PoolLoad]) -> None:
         """Send what is left of `step` where it should wait least."""
@@ -125,17 +117,16 @@
             loads,
             key=lambda p: loads[p].wait_ms * _MILLISECOND + loads[p].excess * each,
         )
-        self._forward(step, count, pool, evacuated=True)
+        self._forward(step, count, pool)
         load = loads[pool]
         loads[pool] = replace(load, excess=load.excess + count)
 
-    def _forward(
-        self, step: StepTasks, count: int, pool: PoolId, *, evacuated: bool
-    ) -> None:
+    def _forward(self, step: StepTasks, count: int, pool: PoolId) -> None:
         tasks, step.waiting = step.waiting[-count:], step.waiting[:-count]
         for task in tasks:
             del step.tasks[task.name.index]
         self._others.take_places(pool, count)
+        evacuated = self._evacuated()
         if evacuated:
             self._events.moved_out(step, count, pool)
         else:
@@ -165,9 +156,8 @@
         whole = len(step.tasks) == step.width
         return end > (min(step.useful, step.limit) if whole else step.limit)
 
-    def _give_back(
-        self, step: StepTasks, wait: timedelta, *, evacuated: bool = False
-    ) -> None:
+    def _give_back(self, step: StepTasks, wait: timedelta) -> None:
+        evacuated = self._evacuated()
         wait_ms = max(wait // _MILLISECOND, self.load().wait_ms)
         indices = tuple(task.name.index for task in step.waiting)
         self._events.given_back(step, len(indices), wait_ms, evacuated=evacuated)
