Keep a minion in the registry while a start there may be carried out late

What callers saw: a task of several seconds could run twice at the same time. A start had no answer, its minion went out of reach and its entry expired; after 3 s the owner forgot the minion and, with its session, that the start was still to be rejected. The task ran elsewhere. The minion came back as listed, its new session extended the leases there, and the start was carried out beside the second run.

Found by reading the session beside the registry for things that an owner forgets.

Why it works: the session stops such a run before it asks for a lease, and a stopped run is rejected when it arrives. A minion that says itself that it is another incarnation is forgotten as before.

--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -13,7 +13,7 @@
     MinionSilentError,
     StartRefusedError,
 )
-from brasstray.pool.lease_clock import LeaseClock
+from brasstray.pool.lease_clock import LATEST_EFFECT, LeaseClock
 from brasstray.pool.minion import Reach
 from brasstray.pool.run_record import RunState
 
@@ -78,13 +78,17 @@
         self._silent_since = timedelta(0)
         self._newest_look_ms = 0
         self._answers = 0
-        self._unsettled: set[tuple[TaskName, RunNumber]] = set()
+        self._unsettled: dict[tuple[TaskName, RunNumber], timedelta] = {}
 
     @property
     def minion(self) -> Minion:
         """Return the minion that is kept."""
         return self._minion
 
+    def may_start_late(self, now: timedelta) -> bool:
+        """Tell whether a start whose outcome is unknown may still be carried out."""
+        return any(now - since < LATEST_EFFECT for since in self._unsettled.values())
+
     async def run(self) -> None:
         """Keep the minion until it has gone, a token fences us, or `end` is called."""
         try:
@@ -118,7 +122,7 @@
         await self._look_in_turn()
         for name, run in sorted(self._unsettled):
             await self._call_stop(name, run)
-            self._unsettled.discard((name, run))
+            self._unsettled.pop((name, run), None)
         if self._minion.reach is Reach.SILENT:
             silent = self._clock.monotonic() - self._silent_since
             self._owner.take_back(self._minion, silent)
@@ -167,11 +171,10 @@
             self._minion.reach = Reach.SILENT
             self._silent_since = self._clock.monotonic()
             self._owner.reach_minion(self._minion)
-        self._unsettled |= {
-            key
-            for key, record in self._minion.runs.items()
-            if record.state in (RunState.STARTING, RunState.UNSETTLED)
-        }
+        now = self._clock.monotonic()
+        for key, record in self._minion.runs.items():
+            if record.state in (RunState.STARTING, RunState.UNSETTLED):
+                self._unsettled[key] = now
         lapsed = False
         pause = self._timing.silent_pause
         while True:
@@ -313,7 +316,8 @@
             return
         if record.state is RunState.UNSETTLED:
             record.state = RunState.STOPPING
-            self._unsettled.add((record.name, record.run))
+            key = record.name, record.run
+            self._unsettled[key] = self._clock.monotonic()
         if record.state is RunState.STOPPING:
             await self._stop(record)
         elif record.task is None:
@@ -324,7 +328,7 @@
         while key in self._minion.runs and self._minion.reach is not Reach.GONE:
             try:
                 await self._call_stop(*key)
-                self._unsettled.discard(key)
+                self._unsettled.pop(key, None)
                 await self._await_end(record)
             except MinionSilentError:
                 await self._clock.sleep(self._timing.silent_pause)
--- a/src/brasstray/pool/roster.py
+++ b/src/brasstray/pool/roster.py
@@ -75,20 +75,25 @@
             # Guards against entries that lapse while the store is away though their
             # minions live: they are back soon after the store is.
             if now - since > self._timing.missing_grace:
-                self._remove(minion_id)
+                self._remove(minion_id, now)
 
     def _add(self, entry: MinionEntry) -> None:
         minion = Minion(entry)
         minion.take_entry(entry, self._clock.monotonic())
         self._sessions[entry.id] = self._begin(minion)
 
-    def _remove(self, minion_id: MinionId) -> None:
+    def _remove(self, minion_id: MinionId, now: timedelta) -> None:
         session = self._sessions[minion_id]
-        # Guards against a second run beside one whose lease goes on: a minion in reach
-        # lives whatever the list says, and one out of reach has no runs here any more
-        # once its leases are over.
-        if session.minion.runs and session.minion.reach is not Reach.GONE:
-            return
+        if session.minion.reach is not Reach.GONE:
+            # Guards against a second run beside one whose lease goes on: a minion in
+            # reach lives whatever the list says, and one out of reach has no runs here
+            # any more once its leases are over.
+            if session.minion.runs:
+                return
+            # The session rejects late starts when the minion is back; a new one would
+            # know of none, and its first lease would let them run.
+            if session.may_start_late(now):
+                return
         self._lose(session.minion)
         session.end()
         del self._sessions[minion_id]
--- /dev/null
+++ b/tests/pool/test_late_starts.py
@@ -0,0 +1,55 @@
+"""Check that a start carried out late never begins a second run of its task."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+
+import pytest
+from tests.pool.takeover import Requester, play_takeover, request
+
+SECOND = timedelta(seconds=1)
+
+
+def ms(count):
+    return timedelta(milliseconds=count)
+
+
+async def list_until(pool, owner, entries, duration):
+    """Have `owner` read a list of `entries` twice a second for `duration`."""
+    end = pool.clock.monotonic() + duration
+    while pool.clock.monotonic() < end:
+        owner.list_minions(entries)
+        await pool.clock.sleep(ms(500))
+
+
+@pytest.mark.parametrize("minions", [2, 3])
+@pytest.mark.parametrize("missing_ms", [3_500, 4_500, 8_000])
+@pytest.mark.parametrize("late_ms", [6_000, 9_000, 11_500])
+def test_late_start_is_rejected_after_its_minion_was_forgotten(
+    minions, missing_ms, late_ms
+):
+    """A start held up while its minion was unlisted does not begin beside a rerun."""
+
+    async def story(pool):
+        calls = pool.calls()
+        owner, _ = pool.own(1, calls)
+        await pool.list_all(owner)
+        await pool.clock.sleep(ms(150))
+        calls.late, calls.lateness = 1, ms(late_ms)
+        owner.run_tasks(Requester(), request(claimed=False))
+        lost = await unanswered_minion(pool, calls, owner)
+        calls.cut.add(lost)
+        left = [entry for entry in pool.entries if entry.id != lost]
+        await list_until(pool, owner, left, ms(missing_ms))
+        calls.cut.clear()
+        await list_until(pool, owner, pool.entries, 10 * SECOND)
+
+    pool, _ = play_takeover(story, minions, duration=15 * SECOND)
+    assert pool.book.broken == []
+
+
+async def unanswered_minion(pool, calls, owner):
+    """Wait until a start is held back; return the minion that it was sent to."""
+    while calls.late:
+        await pool.clock.sleep(ms(1))
+    return next(minion.entry.id for minion in owner.minions if minion.runs)
