Rename looks at minions to probes and lease renewals

The module of the reply, its type, methods, limits and timeouts; comments of the session say the reason alone. No change of behaviour: tests of pools, platform and pool failures pass.

--- a/src/brasstray/host/event_log.py
+++ b/src/brasstray/host/event_log.py
@@ -8,7 +8,7 @@
 from eliot import log_message
 
 from brasstray.batch.outcome import BatchOutcome
-from brasstray.pool.look import RunEnd
+from brasstray.pool.probe_reply import RunEnd
 
 if TYPE_CHECKING:
     from brasstray.batch.evacuation_set import EvacuationSet
--- a/src/brasstray/platform/minion_bodies.py
+++ b/src/brasstray/platform/minion_bodies.py
@@ -7,7 +7,7 @@
 from brasstray.batch.ids import RunNumber
 from brasstray.platform.body import Body
 from brasstray.platform.task_text import task_name
-from brasstray.pool.look import ActiveRun, EndedRun, Look, RunEnd
+from brasstray.pool.probe_reply import ActiveRun, EndedRun, ProbeReply, RunEnd
 
 _ENDS = {
     "done": RunEnd.DONE,
@@ -60,7 +60,7 @@
     running: list[list[str | int | float]] = msgspec.field(default_factory=list)
     finished: list[list[str | int | float]] = msgspec.field(default_factory=list)
 
-    def look(self) -> Look:
+    def probe_reply(self) -> ProbeReply:
         """Return what the rows say; raise ValueError if they cannot be read."""
         active = tuple(
             ActiveRun(task_name(str(row[0])), RunNumber(int(row[1])), int(row[3]))
@@ -75,7 +75,7 @@
             )
             for row in self.finished
         )
-        return Look(self.clock_ms, active, ended)
+        return ProbeReply(self.clock_ms, active, ended)
 
 
 __all__ = ["HoldBody", "HoldReply", "Reply", "StartBody", "StopBody"]
--- a/src/brasstray/platform/platform_minions.py
+++ b/src/brasstray/platform/platform_minions.py
@@ -31,8 +31,8 @@
     from brasstray.http.reply import HttpReply
     from brasstray.job.ids import MinionId
     from brasstray.platform.body import Body
-    from brasstray.pool.look import Look
     from brasstray.pool.minion_entry import MinionEntry
+    from brasstray.pool.probe_reply import ProbeReply
 
 # Enough for the waiting look and the starts of a burst; more are closed when idle.
 IDLE_CONNECTIONS = 6
@@ -57,7 +57,7 @@
         until_ms: int | None,
         wait: timedelta,
         patience: timedelta,
-    ) -> Look:
+    ) -> ProbeReply:
         """Extend the lease of all runs, and wait up to `wait` for one to end."""
         body = HoldBody(
             fencing_token=token,
@@ -69,7 +69,7 @@
         if response.status != 200:
             raise MinionSilentError(f"status {response.status}")
         try:
-            return HoldReply.decode(response.content).look()
+            return HoldReply.decode(response.content).probe_reply()
         except (UnreadableBodyError, ValueError, KeyError, IndexError) as error:
             raise MinionSilentError(f"unreadable answer: {error!r}") from error
 
--- a/src/brasstray/pool/minion_calls.py
+++ b/src/brasstray/pool/minion_calls.py
@@ -9,8 +9,8 @@
 
     from brasstray.batch.ids import FencingToken, RunNumber
     from brasstray.batch.task_name import TaskName
-    from brasstray.pool.look import Look
     from brasstray.pool.minion_entry import MinionEntry
+    from brasstray.pool.probe_reply import ProbeReply
 
 
 class MinionCalls(Protocol):
@@ -27,7 +27,7 @@
         until_ms: int | None,
         wait: timedelta,
         patience: timedelta,
-    ) -> Look:
+    ) -> ProbeReply:
         """Extend the lease of all runs, and wait up to `wait` for one to end."""
 
     async def start(
--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -31,23 +31,21 @@
     from brasstray.pool.timing import PoolTiming
 
 _NO_WAIT = timedelta(0)
-# With a quarter of all answers lost, four looks in a row fail once in 256 times; they
-# take 240 ms of a lease of 800.
-LOOKS_BEFORE_SILENT = 4
-# A new owner opens a connection to each minion, which takes 1 to 2 ms of processor time
-# and five times that on a slow machine. So many at once end within the patience of a
-# look, however many minions there are.
+# A few lost answers in a row must not cost a minion its runs; all probes together must
+# still end well within the lease.
+PROBES_BEFORE_UNREACHABLE = 4
+# A new owner opens a connection to each minion. Bounding how many it opens at once
+# keeps each answer within the probe timeout on a slow host.
 FIRST_CALLS_AT_ONCE = 8
-# A minion out of reach is asked less and less often, down to once in this time: sixty
-# of them, as where a rack is cut off, took half of a core when all were asked ten times
-# a second on new connections.
-LONGEST_SILENT_PAUSE = timedelta(milliseconds=400)
+# Upper bound of the backoff between probes of an unreachable minion, so that the loss
+# of a rack does not saturate the owner.
+MAX_PROBE_BACKOFF = timedelta(milliseconds=400)
 
 
 class MinionSession:
-    """Run one task that looks at a minion, and one for each start and stop.
+    """Probe a minion and renew its leases in one task; start and stop runs in others.
 
-    A look without a lease only asks; a look with one extends the life of all runs.
+    A probe only asks what runs; a lease renewal extends the life of all runs.
     """
 
     def __init__(
@@ -76,7 +74,7 @@
         self._scope = anyio.CancelScope()
         self._unanswered_at: timedelta | None = None
         self._silent_since = timedelta(0)
-        self._newest_look_ms = 0
+        self._newest_reply_ms = 0
         self._answers = 0
         self._unsettled: dict[tuple[TaskName, RunNumber], timedelta] = {}
 
@@ -103,7 +101,7 @@
                 await self._calls.forget(self._minion.entry)
 
     def end(self) -> None:
-        """Look at the minion no more: it has left the list for good."""
+        """ProbeReply at the minion no more: it has left the list for good."""
         self._scope.cancel()
 
     async def _run(self) -> None:
@@ -115,11 +113,10 @@
                 await self._await_lapse()
 
     async def _settle_all(self) -> None:
-        # Guards against a start whose response was lost and that arrives seconds
-        # later: its task may run elsewhere by then. Its own lease has passed, but the
-        # next hold would give it a new one. Once a stop for it has been answered the
-        # minion rejects it, so stops go before the first hold.
-        await self._look_in_turn()
+        # A start without a response may be carried out seconds later, while its task
+        # runs elsewhere. Its own lease has expired, but a renewal would revive it. The
+        # minion rejects it once a stop was answered, so stops precede the renewal.
+        await self._probe_in_turn()
         for name, run in sorted(self._unsettled):
             await self._call_stop(name, run)
             self._unsettled.pop((name, run), None)
@@ -132,16 +129,16 @@
     async def _keep(self) -> None:
         while True:
             try:
-                await self._look(lease=True, wait=self._hold_wait())
+                await self._probe(lease=True, wait=self._hold_wait())
             except MinionSilentError:
                 self._unanswered_at = self._clock.monotonic()
-                await self._look_again()
+                await self._probe_again()
 
     def _hold_wait(self) -> timedelta:
-        """Return how long a hold may wait for an end.
+        """Return how long a lease renewal may wait for an end.
 
-        Where answers get lost, ends are told late: by the whole wait of the hold whose
-        answer was lost. Short waits keep that small while it goes on.
+        A lost answer delays the ends in it by the whole wait, so waits are short while
+        answers get lost.
         """
         timing = self._timing
         if not self._minion.runs:
@@ -151,19 +148,18 @@
             return timing.shaky_hold_wait
         return timing.hold_wait
 
-    async def _look_again(self) -> None:
-        """Tell a lost answer or a dead connection from a minion out of reach.
+    async def _probe_again(self) -> None:
+        """Tell a lost answer or a dead connection from an unreachable minion.
 
-        Each look goes out on another connection. One lost answer must not cost the
-        minion its tasks, and where many are lost two in a row are common.
+        Each probe uses another connection, as one of them may be dead.
         """
-        for _ in range(LOOKS_BEFORE_SILENT - 1):
+        for _ in range(PROBES_BEFORE_UNREACHABLE - 1):
             try:
-                await self._look(lease=False, wait=_NO_WAIT)
+                await self._probe(lease=False, wait=_NO_WAIT)
             except MinionSilentError:
                 continue
             return
-        await self._look(lease=False, wait=_NO_WAIT)
+        await self._probe(lease=False, wait=_NO_WAIT)
 
     async def _await_lapse(self) -> None:
         """Ask until the minion responds; once every lease is over, its runs are."""
@@ -176,22 +172,22 @@
             if record.state in (RunState.STARTING, RunState.UNSETTLED):
                 self._unsettled[key] = now
         lapsed = False
-        pause = self._timing.silent_pause
+        pause = self._timing.probe_backoff
         while True:
             left = self._lease.lapse_wait(self._clock.monotonic())
             if left <= _NO_WAIT and not lapsed:
                 lapsed = await self._lapse()
             try:
                 if lapsed or self._minion.reach is Reach.NEW:
-                    await self._look_in_turn()
+                    await self._probe_in_turn()
                 else:
-                    await self._look(lease=False, wait=_NO_WAIT)
+                    await self._probe(lease=False, wait=_NO_WAIT)
             except MinionSilentError:
                 if lapsed:
                     await self._clock.sleep(pause)
-                    pause = min(pause * 2, LONGEST_SILENT_PAUSE)
+                    pause = min(pause * 2, MAX_PROBE_BACKOFF)
                 else:
-                    # Until the runs lapse every answer counts: it saves them.
+                    # Until the runs expire, any answer saves them.
                     await self._clock.sleep(min(pause, left))
                 continue
             return
@@ -199,8 +195,8 @@
     async def _lapse(self) -> bool:
         """Take the runs of the minion for ended; return whether that was done.
 
-        Guards against a minion that comes back while the store is asked: another call
-        was answered, and what runs there is told by the next look.
+        Another call may be answered while the store is asked: then the minion lives,
+        and the next probe shows what runs there.
         """
         answers = self._answers
         now = self._clock.monotonic()
@@ -213,28 +209,28 @@
         self._owner.lapse_minion(self._minion, reckoning, certain=certain)
         return True
 
-    async def _look_in_turn(self) -> None:
-        """Ask a minion with which nothing is under way, when few others are asked."""
+    async def _probe_in_turn(self) -> None:
+        """Probe a minion with which nothing is under way, a bounded number at once."""
         async with self._first_calls:
-            await self._look(lease=False, wait=_NO_WAIT)
+            await self._probe(lease=False, wait=_NO_WAIT)
 
-    async def _look(
+    async def _probe(
         self, *, lease: bool, wait: timedelta
     ) -> set[tuple[TaskName, RunNumber]] | None:
         """Ask for what runs and has ended; return the active runs.
 
-        None means that a later look was answered before this one.
+        None means that a later probe was answered before this one.
         """
         sent = self._clock.monotonic()
         until = self._lease.next_until(sent) if lease else None
         try:
-            look = await self._calls.hold(
+            reply = await self._calls.hold(
                 self._minion.entry,
                 self._token,
                 self._acknowledged,
                 until,
                 wait,
-                wait + self._timing.look_patience + self._lag.allowance,
+                wait + self._timing.probe_timeout + self._lag.allowance,
             )
         except MinionSilentError:
             if lease:
@@ -244,18 +240,17 @@
         received = self._clock.monotonic()
         if not self._lease.shown:
             self._minion.fence(received + self._timing.stop_time)
-        self._lease.show(look.clock_ms, sent, received)
-        # Ends are acknowledged by the next look only, after the owner has told them to
-        # whoever asked for the tasks: what it has not told, its successor must see.
-        fresh = tuple(e for e in look.ended if e.number > self._acknowledged)
+        self._lease.show(reply.clock_ms, sent, received)
+        # The next call acknowledges these ends, after the owner has reported them: a
+        # successor must still see what was not reported.
+        fresh = tuple(e for e in reply.ended if e.number > self._acknowledged)
         if fresh:
             self._acknowledged = max(ended.number for ended in fresh)
-        # Guards against a look that another has overtaken: it tells runs as active
-        # whose end the later one has listed, and they would seem to be there again.
-        overtaken = look.clock_ms < self._newest_look_ms
-        self._newest_look_ms = max(self._newest_look_ms, look.clock_ms)
-        self._owner.see(self._minion, () if overtaken else look.active, fresh)
-        return None if overtaken else {(run.task, run.run) for run in look.active}
+        # An overtaken reply shows runs as active whose end a newer one has listed.
+        overtaken = reply.clock_ms < self._newest_reply_ms
+        self._newest_reply_ms = max(self._newest_reply_ms, reply.clock_ms)
+        self._owner.see(self._minion, () if overtaken else reply.active, fresh)
+        return None if overtaken else {(run.task, run.run) for run in reply.active}
 
     def start(self, record: RunRecord, spec: str) -> None:
         """Send the start of `record`, which counts against the room already."""
@@ -264,7 +259,7 @@
     def stop(self, record: RunRecord) -> None:
         """Stop `record`; its end is listed or it is certain that it will not run."""
         if record.state in (RunState.STOPPING, RunState.STARTING, RunState.UNSETTLED):
-            # A start under way is stopped when its response is there.
+            # A start under way is stopped once its response is there.
             return
         record.state = RunState.STOPPING
         self._group.start_soon(self._stop, record)
@@ -280,7 +275,7 @@
                 record.run,
                 spec,
                 until,
-                self._timing.call_patience + self._lag.allowance,
+                self._timing.call_timeout + self._lag.allowance,
             )
         except StartRefusedError as error:
             self._owner.take_refusal(self._minion, record, error.refusal)
@@ -303,12 +298,12 @@
                 self.stop(record)
 
     async def _settle(self, record: RunRecord) -> None:
-        """Learn whether an unanswered start took effect, or see that it never does.
+        """Learn whether an unanswered start took effect, or have it rejected.
 
-        The run is looked for first, as it may be at work behind a lost response.
+        The minion is probed first, as the run may be active behind a lost response.
         """
         try:
-            await self._look(lease=False, wait=_NO_WAIT)
+            await self._probe(lease=False, wait=_NO_WAIT)
         except MinionSilentError:
             # The session finds the minion silent as well, and settles it on return.
             pass
@@ -331,28 +326,26 @@
                 self._unsettled.pop(key, None)
                 await self._await_end(record)
             except MinionSilentError:
-                await self._clock.sleep(self._timing.silent_pause)
+                await self._clock.sleep(self._timing.probe_backoff)
             except (MinionGoneError, FencedError):
                 return
 
     async def _await_end(self, record: RunRecord) -> None:
         """Wait for the end of a run whose stop was answered.
 
-        Guards against using its room again, or running its task elsewhere, while it is
-        being stopped: it is not told as active any more then, but its end is listed
-        within the stop time only. A run that was not there is rejected from now on and
-        lists no end, so that after this time there is nothing to wait for. One that is
-        told as active all the same has to be stopped again.
+        A run that is being stopped is no longer listed as active, and still uses its
+        capacity until its end is listed, within the stop time. A run that had not begun
+        lists no end. One that is active after that time has to be stopped again.
         """
         await self._clock.sleep(self._timing.stop_time)
         if (record.name, record.run) not in self._minion.runs:
             return
-        active = await self._look(lease=False, wait=_NO_WAIT)
+        active = await self._probe(lease=False, wait=_NO_WAIT)
         if active is not None and (record.name, record.run) not in active:
             self._owner.settle_stopped(self._minion, record)
 
     async def _call_stop(self, name: TaskName, run: RunNumber) -> None:
-        patience = self._timing.call_patience + self._lag.allowance
+        patience = self._timing.call_timeout + self._lag.allowance
         await self._calls.stop(self._minion.entry, self._token, name, run, patience)
         self._answers += 1
 
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -12,11 +12,11 @@
 from brasstray.pool.dispatcher import Dispatcher
 from brasstray.pool.durations import Durations
 from brasstray.pool.load_sharing import LoadSharing
-from brasstray.pool.look import RunEnd
 from brasstray.pool.loop_lag import LoopLag
 from brasstray.pool.minion import Reach
 from brasstray.pool.minion_session import FIRST_CALLS_AT_ONCE, MinionSession
 from brasstray.pool.pool_task import PoolTask, TaskPhase
+from brasstray.pool.probe_reply import RunEnd
 from brasstray.pool.roster import Roster
 from brasstray.pool.run_judge import RunJudge
 from brasstray.pool.run_record import RunState
@@ -34,13 +34,13 @@
     from brasstray.peer.message.run_tasks import RunTasks
     from brasstray.pool.errors import StartRefusal
     from brasstray.pool.lease_reckoning import LeaseReckoning
-    from brasstray.pool.look import ActiveRun, EndedRun
     from brasstray.pool.minion import Minion
     from brasstray.pool.minion_calls import MinionCalls
     from brasstray.pool.minion_entry import MinionEntry
     from brasstray.pool.other_pools import OtherPools
     from brasstray.pool.owner_events import OwnerEvents
     from brasstray.pool.pool_load import PoolLoad
+    from brasstray.pool.probe_reply import ActiveRun, EndedRun
     from brasstray.pool.requester import Requester
     from brasstray.pool.run_record import RunRecord
     from brasstray.pool.step_tasks import StepTasks
--- a/src/brasstray/pool/owner_events.py
+++ b/src/brasstray/pool/owner_events.py
@@ -10,10 +10,10 @@
     from brasstray.batch.ids import PoolId
     from brasstray.pool.errors import StartRefusal
     from brasstray.pool.lease_reckoning import LeaseReckoning
-    from brasstray.pool.look import RunEnd
     from brasstray.pool.minion import Minion
     from brasstray.pool.minion_health import Evidence
     from brasstray.pool.pool_task import TaskPhase
+    from brasstray.pool.probe_reply import RunEnd
     from brasstray.pool.run_record import RunRecord
     from brasstray.pool.step_tasks import StepTasks
 
--- a/src/brasstray/pool/look.py
+++ b/src/brasstray/pool/probe_reply.py
@@ -1,4 +1,4 @@
-"""Describe what a minion tells of its runs."""
+"""Describe what a minion reports of its runs."""
 
 from __future__ import annotations
 
@@ -41,7 +41,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Look:
+class ProbeReply:
     """Hold a minion's clock, its active runs, and the ends not yet acknowledged."""
 
     clock_ms: int
@@ -49,4 +49,4 @@
     ended: tuple[EndedRun, ...]
 
 
-__all__ = ["ActiveRun", "EndedRun", "Look", "RunEnd"]
+__all__ = ["ActiveRun", "EndedRun", "ProbeReply", "RunEnd"]
--- a/src/brasstray/pool/run_tracker.py
+++ b/src/brasstray/pool/run_tracker.py
@@ -8,8 +8,8 @@
 from brasstray.batch.ids import RunNumber
 from brasstray.batch.resources import Resources
 from brasstray.pool.errors import StartRefusal
-from brasstray.pool.look import RunEnd
 from brasstray.pool.pool_task import TaskPhase
+from brasstray.pool.probe_reply import RunEnd
 from brasstray.pool.run_record import RunRecord, RunState
 
 if TYPE_CHECKING:
@@ -18,10 +18,10 @@
     from brasstray.batch.task_name import TaskName
     from brasstray.clock.clock import Clock
     from brasstray.pool.durations import Durations
-    from brasstray.pool.look import ActiveRun, EndedRun
     from brasstray.pool.minion import Minion
     from brasstray.pool.owner_events import OwnerEvents
     from brasstray.pool.pool_task import PoolTask
+    from brasstray.pool.probe_reply import ActiveRun, EndedRun
     from brasstray.pool.run_judge import RunJudge
     from brasstray.pool.task_book import TaskBook
 
--- a/src/brasstray/pool/task_book.py
+++ b/src/brasstray/pool/task_book.py
@@ -9,8 +9,8 @@
 from brasstray.batch.resources import Resources
 from brasstray.peer.message.tasks_ended import TasksEnded
 from brasstray.peer.message.tasks_returned import TasksReturned
-from brasstray.pool.look import RunEnd
 from brasstray.pool.pool_task import PoolTask, TaskPhase
+from brasstray.pool.probe_reply import RunEnd
 from brasstray.pool.step_tasks import StepTasks
 
 if TYPE_CHECKING:
--- a/src/brasstray/pool/timing.py
+++ b/src/brasstray/pool/timing.py
@@ -24,10 +24,10 @@
       once, so that longer waits only save calls; a quarter of the lease leaves the rest
       to a takeover.
     - `shaky_hold_wait`: the same for `shaky_for` after an answer was lost.
-    - `call_patience`, `look_patience`: how long a start, a stop or the answer of a look
-      may take. A sound one takes 2 ms; a start given up too early is looked for.
+    - `call_timeout`, `probe_timeout`: how long a start, a stop or the answer to a probe
+      may take.
     - `settle_patience`: how long a new owner waits for minions out of reach.
-    - `silent_pause`: between looks at a minion out of reach.
+    - `probe_backoff`: the first pause between probes of an unreachable minion.
     - `stop_time`: the platform's bound on a stop, and a little more.
     - `orphan_patience`: how long runs of an earlier owner go on without being claimed.
     - `requester_silence`: after how much silence a requester's tasks are stopped.
@@ -44,10 +44,10 @@
     idle_hold_wait: timedelta = _ms(400)
     shaky_hold_wait: timedelta = _ms(30)
     shaky_for: timedelta = _ms(3_000)
-    call_patience: timedelta = _ms(60)
-    look_patience: timedelta = _ms(60)
+    call_timeout: timedelta = _ms(60)
+    probe_timeout: timedelta = _ms(60)
     settle_patience: timedelta = _ms(300)
-    silent_pause: timedelta = _ms(100)
+    probe_backoff: timedelta = _ms(100)
     stop_time: timedelta = _ms(60)
     orphan_patience: timedelta = _ms(400)
     requester_silence: timedelta = _ms(600)
--- a/src/brasstray/trace/cause.py
+++ b/src/brasstray/trace/cause.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from brasstray.batch.outcome import BatchOutcome, GiveUpReason
-from brasstray.pool.look import RunEnd
+from brasstray.pool.probe_reply import RunEnd
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable, Sequence
--- a/src/brasstray_standins/leased_minion.py
+++ b/src/brasstray_standins/leased_minion.py
@@ -16,7 +16,7 @@
     StartRefusal,
     StartRefusedError,
 )
-from brasstray.pool.look import ActiveRun, EndedRun, Look, RunEnd
+from brasstray.pool.probe_reply import ActiveRun, EndedRun, ProbeReply, RunEnd
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -183,7 +183,7 @@
         acknowledged: int,
         until_ms: int | None,
         wait: timedelta,
-    ) -> Look:
+    ) -> ProbeReply:
         """Extend the lease and tell what runs, once a run ends or `wait` is over."""
         self._check(entry, token)
         if until_ms is not None:
@@ -198,7 +198,7 @@
             for run in self._runs.values()
             if run.stopped_at is None
         )
-        return Look(self.clock_ms, active, tuple(self._ends))
+        return ProbeReply(self.clock_ms, active, tuple(self._ends))
 
     def start(
         self,
--- a/src/brasstray_standins/leased_minion_app.py
+++ b/src/brasstray_standins/leased_minion_app.py
@@ -57,7 +57,7 @@
         entry = replace(minion.entry, id=target)
         token = FencingToken(body["FencingToken"])
         if path == "/-/hold":
-            look = await minion.hold(
+            reply = await minion.hold(
                 entry,
                 token,
                 body.get("LastSeen", 0),
@@ -65,13 +65,13 @@
                 timedelta(milliseconds=body.get("WaitMs", 0)),
             )
             running = [
-                [_text(r.task), r.run, "", r.percent, 6_800] for r in look.active
+                [_text(r.task), r.run, "", r.percent, 6_800] for r in reply.active
             ]
             finished = [
-                [e.number, _text(e.task), e.run, e.end.value, ""] for e in look.ended
+                [e.number, _text(e.task), e.run, e.end.value, ""] for e in reply.ended
             ]
             told = {
-                "ClockMs": look.clock_ms,
+                "ClockMs": reply.clock_ms,
                 "Running": running,
                 "Finished": finished,
             }
--- a/src/brasstray_standins/leased_minions.py
+++ b/src/brasstray_standins/leased_minions.py
@@ -21,8 +21,8 @@
     from brasstray.batch.task_name import TaskName
     from brasstray.clock.clock import Clock
     from brasstray.job.ids import MinionId
-    from brasstray.pool.look import Look
     from brasstray.pool.minion_entry import MinionEntry
+    from brasstray.pool.probe_reply import ProbeReply
     from brasstray_standins.call_chaos import CallChaos
     from brasstray_standins.leased_minion import LeasedMinion
 
@@ -73,17 +73,17 @@
         until_ms: int | None,
         wait: timedelta,
         patience: timedelta,
-    ) -> Look:
+    ) -> ProbeReply:
         """Extend the lease of all runs, and wait up to `wait` for one to end."""
 
-        async def act(place: LeasedMinion) -> Look:
+        async def act(place: LeasedMinion) -> ProbeReply:
             return await place.hold(minion, token, acknowledged, until_ms, wait)
 
         if until_ms is not None and self.late_holds > 0:
             self.late_holds -= 1
             ahead = until_ms - self._places[minion.id].clock_ms
 
-            async def extend(place: LeasedMinion) -> Look:
+            async def extend(place: LeasedMinion) -> ProbeReply:
                 until = place.clock_ms + ahead
                 return await place.hold(minion, token, 0, until, timedelta(0))
 
--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -18,7 +18,7 @@
 )
 from brasstray.platform.minion_bodies import HoldBody, HoldReply
 from brasstray.platform.task_text import task_name, task_text
-from brasstray.pool.look import ActiveRun, EndedRun, RunEnd
+from brasstray.pool.probe_reply import ActiveRun, EndedRun, RunEnd
 
 JOB = "5c0e7a21d94b36f8"
 ROUTE = {
@@ -119,9 +119,9 @@
     running = [[f"{JOB}.0.0.1", 2, "", 41, 6800.5]]
     finished = [[58, f"{JOB}.0.0.2", 1, "alone", ""]]
     text = json.dumps({"ClockMs": 5, "Running": running, "Finished": finished})
-    look = HoldReply.decode(text).look()
+    reply = HoldReply.decode(text).probe_reply()
     name = BatchId(JOB)
-    assert look.clock_ms == 5
-    assert look.active == (ActiveRun(TaskName(name, 0, 1), RunNumber(2), 41),)
+    assert reply.clock_ms == 5
+    assert reply.active == (ActiveRun(TaskName(name, 0, 1), RunNumber(2), 41),)
     broken = EndedRun(58, TaskName(name, 0, 2), RunNumber(1), RunEnd.BROKEN)
-    assert look.ended == (broken,)
+    assert reply.ended == (broken,)
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -77,7 +77,10 @@
 DECODERS = [
     (lambda text: parse_job("a" * 16, text), (UnreadableJobError, UnsupportedJobError)),
     (parse_configuration, UnreadableConfigError),
-    (lambda text: HoldReply.decode(text).look(), (UnreadableBodyError, ValueError)),
+    (
+        lambda text: HoldReply.decode(text).probe_reply(),
+        (UnreadableBodyError, ValueError),
+    ),
     (Reply.decode, UnreadableBodyError),
     (lambda text: minion_entry(entry(text)), UnreadableBodyError),
     (lambda text: Item.decode(text).entry(), UnreadableBodyError),
--- a/tests/pool/takeover.py
+++ b/tests/pool/takeover.py
@@ -62,25 +62,25 @@
 
 
 class PatternedMinions(LeasedMinions):
-    """Lose the answers to chosen looks: those numbered in `lost`, from 0 on.
+    """Lose the answers to chosen probes: those numbered in `lost`, from 0 on.
 
-    Looks are counted for each minion; an extension of leases is no look. Minions not
-    in `among` answer all of them.
+    Probes are counted for each minion; a lease renewal is none. Minions not in `among`
+    answer all of them.
     """
 
     def __init__(self, *args):
         super().__init__(*args)
         self.lost = frozenset()
         self.among = set()
-        self._looks = {}
+        self._probes = {}
 
     async def hold(self, minion, token, acknowledged, until_ms, wait, patience):
-        look = super().hold(minion, token, acknowledged, until_ms, wait, patience)
+        reply = super().hold(minion, token, acknowledged, until_ms, wait, patience)
         if until_ms is not None or minion.id not in self.among:
-            return await look
-        number = self._looks.get(minion.id, 0)
-        self._looks[minion.id] = number + 1
-        answer = await look
+            return await reply
+        number = self._probes.get(minion.id, 0)
+        self._probes[minion.id] = number + 1
+        answer = await reply
         if number not in self.lost:
             return answer
         await self._clock.sleep(patience)
--- a/tests/pool/test_cold_minions.py
+++ b/tests/pool/test_cold_minions.py
@@ -16,10 +16,10 @@
 from brasstray.job.ids import MinionId
 from brasstray.platform.minion_listing import minion_entry
 from brasstray.pool.durations import Durations
-from brasstray.pool.look import EndedRun, RunEnd
 from brasstray.pool.minion_entry import MinionEntry
 from brasstray.pool.placement import choose_minion
 from brasstray.pool.pool_task import TaskPhase
+from brasstray.pool.probe_reply import EndedRun, RunEnd
 from brasstray.pool.run_judge import RunJudge
 from brasstray.pool.run_record import RunRecord, RunState
 from brasstray.pool.run_tracker import RunTracker
--- a/tests/pool/test_takeover.py
+++ b/tests/pool/test_takeover.py
@@ -11,7 +11,7 @@
 from brasstray.batch.ids import BatchId, FencingToken, RunNumber
 from brasstray.batch.resources import Resources
 from brasstray.batch.task_name import TaskName
-from brasstray.pool.look import ActiveRun
+from brasstray.pool.probe_reply import ActiveRun
 from brasstray_standins.leased_minion import Work
 
 SECOND = timedelta(seconds=1)
