--- a/src/brasstray/pool/load_sharing.py
+++ b/src/brasstray/pool/load_sharing.py
@@ -199,7 +199,7 @@
         return sum(
             m.entry.capacity.cpu_millis
             for m in self._minions()
-            if m.reach is Reach.HELD
+            if m.reach is Reach.LEASED
         )
 
 
--- a/src/brasstray/pool/minion.py
+++ b/src/brasstray/pool/minion.py
@@ -1,4 +1,4 @@
-"""Keep the book of one minion: its room, its runs and how far it is trusted."""
+"""Track one minion: its free capacity, its runs and how far it is trusted."""
 
 from __future__ import annotations
 
@@ -20,19 +20,19 @@
     from brasstray.pool.step_tasks import StepTasks
 
 
-# Looks overtake one another by a few, and a minion has a few dozen runs at most.
+# Replies overtake one another by a few, and a minion has a few dozen runs at most.
 ENDS_REMEMBERED = 64
 
 
 class Reach(Enum):
-    """Tell whether a minion is in reach of its owner.
+    """Tell whether a minion is reachable for its owner.
 
-    NEW: not yet fenced, so an earlier owner's orders would still be obeyed there.
+    UNPROBED: not yet fenced, so it still obeys orders of a previous owner.
     """
 
-    NEW = "new"
-    HELD = "held"
-    SILENT = "silent"
+    UNPROBED = "unprobed"
+    LEASED = "leased"
+    UNREACHABLE = "unreachable"
     GONE = "gone"
 
 
@@ -46,7 +46,7 @@
 
     def __init__(self, entry: MinionEntry) -> None:
         self.entry = entry
-        self.reach = Reach.NEW
+        self.reach = Reach.UNPROBED
         self.health = MinionHealth()
         self.runs: dict[tuple[TaskName, RunNumber], RunRecord] = {}
         self._cold_until = timedelta(0)
@@ -65,22 +65,21 @@
         return now < self._cold_until
 
     def fence(self, clear_from: timedelta) -> None:
-        """Take note that the minion has seen the token of its owner.
+        """Record that the minion has seen the token of its owner.
 
-        What an earlier owner was having stopped then is over at `clear_from`.
+        What a previous owner was stopping then has ended by `clear_from`.
         """
         self._clear_from = clear_from
 
     def is_known(self, now: timedelta) -> bool:
-        """Tell whether everything that may be at work here is known at `now`.
+        """Tell whether everything that may be active here is known at `now`.
 
-        Guards against a run that was being stopped when the pool changed hands: it is
-        not told as active any more, and its end only once it has ended. Its task was
-        started elsewhere beside it, and others in its room.
+        A run that was being stopped during the failover is no longer listed as active,
+        and its end not yet. It could run beside another run of its task.
         """
         if self.reach is Reach.GONE:
             return True
-        return self.reach is not Reach.NEW and now >= self._clear_from
+        return self.reach is not Reach.UNPROBED and now >= self._clear_from
 
     @property
     def room(self) -> Resources:
@@ -142,8 +141,8 @@
     def lose(self, record: RunRecord) -> bool:
         """Free what `record` used, as its lease should be over.
 
-        Nobody has told its end, so it is counted again if the minion, back in reach,
-        tells that it goes on.
+        Its end was not reported, so it counts again if the minion, reachable again,
+        lists it as active.
         """
         if self.runs.pop((record.name, record.run), None) is None:
             return False
@@ -153,7 +152,7 @@
 
     def usable(self, now: timedelta) -> bool:
         """Tell whether a new task may start here at `now`."""
-        if self.reach is not Reach.HELD or self.entry.draining or self.has_unsized:
+        if self.reach is not Reach.LEASED or self.entry.draining or self.has_unsized:
             return False
         if not self.is_known(now):
             return False
--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -120,10 +120,10 @@
         for name, run in sorted(self._unsettled):
             await self._call_stop(name, run)
             self._unsettled.pop((name, run), None)
-        if self._minion.reach is Reach.SILENT:
+        if self._minion.reach is Reach.UNREACHABLE:
             silent = self._clock.monotonic() - self._silent_since
             self._owner.take_back(self._minion, silent)
-        self._minion.reach = Reach.HELD
+        self._minion.reach = Reach.LEASED
         self._owner.reach_minion(self._minion)
 
     async def _keep(self) -> None:
@@ -163,8 +163,8 @@
 
     async def _await_lapse(self) -> None:
         """Ask until the minion responds; once every lease is over, its runs are."""
-        if self._minion.reach is Reach.HELD:
-            self._minion.reach = Reach.SILENT
+        if self._minion.reach is Reach.LEASED:
+            self._minion.reach = Reach.UNREACHABLE
             self._silent_since = self._clock.monotonic()
             self._owner.reach_minion(self._minion)
         now = self._clock.monotonic()
@@ -178,7 +178,7 @@
             if left <= _NO_WAIT and not lapsed:
                 lapsed = await self._lapse()
             try:
-                if lapsed or self._minion.reach is Reach.NEW:
+                if lapsed or self._minion.reach is Reach.UNPROBED:
                     await self._probe_in_turn()
                 else:
                     await self._probe(lease=False, wait=_NO_WAIT)
--- a/src/brasstray/pool/run_judge.py
+++ b/src/brasstray/pool/run_judge.py
@@ -108,7 +108,7 @@
             return
         self._returns = [at for at in self._returns if now - at < LATEST_RETURN]
         minions = self._minions()
-        out_of_reach = sum(one.reach is Reach.SILENT for one in minions)
+        out_of_reach = sum(one.reach is Reach.UNREACHABLE for one in minions)
         together = out_of_reach + len(self._returns)
         self._returns.append(now)
         if together >= SILENT_SHARE_THAT_ABSOLVES * len(minions):
--- a/src/brasstray/pool/settlement.py
+++ b/src/brasstray/pool/settlement.py
@@ -116,14 +116,14 @@
         ]
         queued = sum(self.settle_claim(task) for task in claimed)
         minions = self._roster.minions
-        unreached = sum(minion.reach is Reach.NEW for minion in minions)
+        unreached = sum(minion.reach is Reach.UNPROBED for minion in minions)
         given_up = len(claimed) - queued
         self._events.settled(self._pool, len(minions), unreached, queued, given_up)
 
     @property
     def _all_reached(self) -> bool:
         """Tell whether every minion has been asked under this owner's token."""
-        return all(m.reach is not Reach.NEW for m in self._roster.minions)
+        return all(m.reach is not Reach.UNPROBED for m in self._roster.minions)
 
     @property
     def _all_known(self) -> bool:
--- a/tests/host/test_host_status.py
+++ b/tests/host/test_host_status.py
@@ -34,7 +34,7 @@
     assert owned.settled
     assert owned.token == next(o.token for o in found[owner].owners if o.pool == "dc0")
     assert [(m.reach, m.runs, m.free_cpu_millis) for m in owned.minions] == [
-        ("held", 0, 16_000)
+        ("leased", 0, 16_000)
     ] * 4
     asking = found[owner].requesters
     assert len(asking) == 3
--- a/tests/host/test_pool_failures.py
+++ b/tests/host/test_pool_failures.py
@@ -593,7 +593,7 @@
         return [minion.reach.value for minion in owner.minions]
 
     reaches, _ = play_pools(story, size)
-    assert reaches == ["held"] * 40
+    assert reaches == ["leased"] * 40
 
 
 def test_jobs_that_can_never_be_done_do_not_stop_the_others(play_pools):
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -190,7 +190,7 @@
         found.append(msgspec.json.decode(result.stdout, type=HostStatus))
     owners = [status for status in found if status.owned is not None]
     assert len(owners) == 1
-    assert [minion.reach for minion in owners[0].owned.minions] == ["held", "held"]
+    assert [minion.reach for minion in owners[0].owned.minions] == ["leased", "leased"]
     assert all(status.owners[0].host == owners[0].host for status in found)
 
 
