--- a/src/brasstray/pool/dispatcher.py
+++ b/src/brasstray/pool/dispatcher.py
@@ -24,7 +24,7 @@
     from brasstray.pool.pool_task import PoolTask
     from brasstray.pool.roster import Roster
     from brasstray.pool.step_tasks import StepTasks
-    from brasstray.pool.task_book import TaskBook
+    from brasstray.pool.task_registry import TaskRegistry
 
 # How long a load that was worked out is told again: no longer than other pools wait
 # between two news of it.
@@ -44,7 +44,7 @@
 
     def __init__(
         self,
-        book: TaskBook,
+        tasks: TaskRegistry,
         roster: Roster,
         durations: Durations,
         sharing: LoadSharing,
@@ -53,7 +53,7 @@
         may_start: Callable[[], bool],
         evacuated: Callable[[], bool],
     ) -> None:
-        self._book = book
+        self._tasks = tasks
         self._roster = roster
         self._durations = durations
         self._sharing = sharing
@@ -103,7 +103,7 @@
                 self._dispatch()
 
     def _dispatch(self) -> None:
-        waiting = [step for step in self._book.steps if step.waiting]
+        waiting = [step for step in self._tasks.steps if step.waiting]
         if not waiting:
             return
         now = self._clock.monotonic()
--- a/src/brasstray/pool/load_sharing.py
+++ b/src/brasstray/pool/load_sharing.py
@@ -21,7 +21,7 @@
     from brasstray.pool.other_pools import OtherPools
     from brasstray.pool.owner_events import OwnerEvents
     from brasstray.pool.step_tasks import StepTasks
-    from brasstray.pool.task_book import TaskBook
+    from brasstray.pool.task_registry import TaskRegistry
 
 _MILLISECOND = timedelta(milliseconds=1)
 # Room is told to others in places for tasks of usual size: the average of the last
@@ -37,7 +37,7 @@
 
     def __init__(
         self,
-        book: TaskBook,
+        tasks: TaskRegistry,
         minions: Callable[[], list[Minion]],
         durations: Durations,
         others: OtherPools,
@@ -45,7 +45,7 @@
         events: OwnerEvents,
         evacuated: Callable[[], bool],
     ) -> None:
-        self._book = book
+        self._tasks = tasks
         self._minions = minions
         self._durations = durations
         self._others = others
@@ -142,7 +142,7 @@
                 evacuated=evacuated,
             )
         )
-        self._book.forget_if_empty(step)
+        self._tasks.forget_if_empty(step)
 
     def _is_hopeless(self, step: StepTasks, end: timedelta) -> bool:
         """Tell whether `step`, which would be done at `end`, is better given back.
@@ -174,7 +174,7 @@
                 evacuated=evacuated,
             )
         )
-        self._book.forget_if_empty(step)
+        self._tasks.forget_if_empty(step)
 
     def load(self) -> PoolLoad:
         """Return the room, and the wait for a task that came now."""
@@ -186,7 +186,7 @@
             len(step.waiting)
             * step.needs.cpu_millis
             * self._durations.expected(step, None, ()).total_seconds()
-            for step in self._book.steps
+            for step in self._tasks.steps
         )
         if waiting:
             return PoolLoad(0, round(1_000 * waiting / max(1, self._held_cpu())))
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -22,7 +22,7 @@
 from brasstray.pool.run_judge import RunJudge
 from brasstray.pool.run_record import RunState
 from brasstray.pool.run_tracker import RunTracker
-from brasstray.pool.task_book import TaskBook
+from brasstray.pool.task_registry import TaskRegistry
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
@@ -52,7 +52,7 @@
 
 
 class PoolOwner:
-    """Hold the book of a pool while its fencing token is the highest.
+    """Hold the tasks of a pool while its fencing token is the highest.
 
     Every decision is taken without waiting; sessions do what takes time.
     """
@@ -82,10 +82,10 @@
         self._durations = Durations(remote_factor)
         self._roster = Roster(clock, timing, self._begin_session, self._forget_minion)
         self._judge = RunJudge(lambda: self.minions, events)
-        self._book = TaskBook(clock, events)
+        self._tasks = TaskRegistry(clock, events)
         self._recovery = Recovery(
             pool,
-            self._book,
+            self._tasks,
             self._roster,
             clock,
             timing,
@@ -93,7 +93,7 @@
             minions_known=inherited is not None,
         )
         self._runs = RunTracker(
-            self._book,
+            self._tasks,
             self._judge,
             self._durations,
             clock,
@@ -102,7 +102,7 @@
             lambda minion, record: self._roster.session(minion.entry.id).stop(record),
         )
         self._sharing = LoadSharing(
-            self._book,
+            self._tasks,
             lambda: self.minions,
             self._durations,
             others,
@@ -115,7 +115,7 @@
         self._group: TaskGroup | None = None
         self._deposed = anyio.Event()
         self._dispatcher = Dispatcher(
-            self._book,
+            self._tasks,
             self._roster,
             self._durations,
             self._sharing,
@@ -214,8 +214,8 @@
             due = self._clock.monotonic() + TIME_STEP
             await self._clock.sleep(TIME_STEP)
             self._lag.note(self._clock.monotonic() - due)
-            self._book.forget_old_ends()
-            if any(step.waiting for step in self._book.steps):
+            self._tasks.forget_old_ends()
+            if any(step.waiting for step in self._tasks.steps):
                 self.review()
 
     # Requests
@@ -224,19 +224,19 @@
         """Take tasks, or claims to tasks that an earlier owner was given."""
         if self._deposed.is_set():
             return
-        step = self._book.take(requester, message)
+        step = self._tasks.take(requester, message)
         for index in message.indices:
             self._take(step, index, claimed=message.claimed)
         self._sharing.weigh(step.needs)
-        self._book.forget_if_empty(step)
+        self._tasks.forget_if_empty(step)
         self.review()
 
     def _take(self, step: StepTasks, index: int, *, claimed: bool) -> None:
         if index in step.tasks:
             return
         name = TaskName(step.batch, step.step, index)
-        if claimed and self._book.recall(name) is RunEnd.DONE:
-            self._book.tell_end(step, index, done=True)
+        if claimed and self._tasks.recall(name) is RunEnd.DONE:
+            self._tasks.tell_end(step, index, done=True)
             return
         task = PoolTask(name, step, TaskPhase.CLAIMED, RunNumber(0))
         step.tasks[index] = task
@@ -245,7 +245,7 @@
             minion, record = found
             minion.adopt(record, task)
         elif not claimed:
-            self._book.queue(task)
+            self._tasks.queue(task)
         elif self.recovered:
             self._recovery.resolve_claim(task)
 
@@ -268,14 +268,14 @@
 
     def stop_tasks(self, requester: Requester, batch: BatchId) -> None:
         """Drop the waiting tasks of a job and stop its runs."""
-        for step in self._book.steps:
+        for step in self._tasks.steps:
             if step.batch == batch and step.requester is requester:
                 self._drop(step, "not_wanted")
         self.dispatch()
 
     def lose_requester(self, requester: Requester) -> None:
         """Drop all that a requester asked for: it has been silent for too long."""
-        for step in self._book.steps:
+        for step in self._tasks.steps:
             if step.requester is requester:
                 self._drop(step, "requester_silent")
         self.dispatch()
@@ -283,7 +283,7 @@
     def _drop(self, step: StepTasks, why: str) -> None:
         if self._deposed.is_set():
             return
-        self._book.drop(step, why)
+        self._tasks.drop(step, why)
         for session in self._roster.sessions:
             for record in list(session.minion.runs.values()):
                 if record.task is not None and record.task.of is step:
--- a/src/brasstray/pool/pool_task.py
+++ b/src/brasstray/pool/pool_task.py
@@ -1,4 +1,4 @@
-"""Keep the book of one task that the owner of a pool was asked to run."""
+"""Hold one task that the owner of a pool was asked to run."""
 
 from __future__ import annotations
 
--- a/src/brasstray/pool/recovery.py
+++ b/src/brasstray/pool/recovery.py
@@ -16,7 +16,7 @@
     from brasstray.pool.owner_events import OwnerEvents
     from brasstray.pool.pool_task import PoolTask
     from brasstray.pool.roster import Roster
-    from brasstray.pool.task_book import TaskBook
+    from brasstray.pool.task_registry import TaskRegistry
     from brasstray.pool.timing import PoolTiming
 
 _STEP = timedelta(milliseconds=5)
@@ -32,7 +32,7 @@
     def __init__(
         self,
         pool: PoolId,
-        book: TaskBook,
+        tasks: TaskRegistry,
         roster: Roster,
         clock: Clock,
         timing: PoolTiming,
@@ -41,7 +41,7 @@
         minions_known: bool,
     ) -> None:
         self._pool = pool
-        self._book = book
+        self._tasks = tasks
         self._roster = roster
         self._clock = clock
         self._timing = timing
@@ -98,15 +98,15 @@
         previous owner reaches, or that only its list names: its outcome is unknown.
         """
         if self._minions_told and self._all_known:
-            self._book.queue(task)
+            self._tasks.queue(task)
             return True
-        self._book.give_up(task)
+        self._tasks.give_up(task)
         return False
 
     def _resolve_claims(self) -> None:
         claimed = [
             task
-            for step in self._book.steps
+            for step in self._tasks.steps
             for task in step.tasks.values()
             if task.phase is TaskPhase.CLAIMED
         ]
--- a/src/brasstray/pool/run_tracker.py
+++ b/src/brasstray/pool/run_tracker.py
@@ -23,7 +23,7 @@
     from brasstray.pool.pool_task import PoolTask
     from brasstray.pool.probe_reply import ActiveRun, EndedRun
     from brasstray.pool.run_judge import RunJudge
-    from brasstray.pool.task_book import TaskBook
+    from brasstray.pool.task_registry import TaskRegistry
 
 # Runs of one task must be numbered upwards, also by an owner that knows nothing of
 # earlier ones: after a refusal for this reason it goes on this much higher.
@@ -31,17 +31,16 @@
 
 
 class RunTracker:
-    """Bring the book in line with what minions tell.
+    """Update the tasks from what minions report.
 
-    `claims_closed` tells whether runs that nobody has claimed are to be stopped, which
-    `stop` does.
+    `claims_closed` tells whether orphaned runs are to be stopped, which `stop` does.
 
-    Tasks whose run has ended without a result wait in the book for another start.
+    Tasks whose run has ended without a result wait for another start.
     """
 
     def __init__(
         self,
-        book: TaskBook,
+        tasks: TaskRegistry,
         judge: RunJudge,
         durations: Durations,
         clock: Clock,
@@ -49,7 +48,7 @@
         claims_closed: Callable[[], bool],
         stop: Callable[[Minion, RunRecord], None],
     ) -> None:
-        self._book = book
+        self._tasks = tasks
         self._judge = judge
         self._durations = durations
         self._clock = clock
@@ -106,10 +105,10 @@
             size_known=False,
         )
         minion.add(record)
-        task = self._book.find(run.task)
+        task = self._tasks.find(run.task)
         self._events.run_found(minion, record, task.phase if task else None)
         if task is not None and task.phase is not TaskPhase.PLACED:
-            self._book.unqueue(task)
+            self._tasks.unqueue(task)
             minion.adopt(record, task)
         elif self._claims_over():
             self._stop(minion, record)
@@ -129,11 +128,11 @@
         match end:
             case RunEnd.DONE:
                 self._learn(minion, record, task)
-                self._book.finish(task, done=True)
+                self._tasks.finish(task, done=True)
             case RunEnd.FAILED:
                 self._fail(minion, task)
             case _:
-                self._book.queue(task)
+                self._tasks.queue(task)
 
     def _learn(self, minion: Minion, record: RunRecord, task: PoolTask) -> None:
         if not record.expected or record.cold:
@@ -149,20 +148,20 @@
         self._judge.note_failed(minion, task, self._clock.monotonic())
         if task.failures >= task.of.attempts:
             self._judge.note_hopeless(task)
-            self._book.finish(task, done=False)
+            self._tasks.finish(task, done=False)
         else:
-            self._book.queue(task)
+            self._tasks.queue(task)
 
     def _note_unowned_end(self, name: TaskName, end: RunEnd) -> None:
         """Keep the end of a run without a task, or end the task that claims it."""
-        self._book.remember(name, end)
-        task = self._book.find(name)
+        self._tasks.remember(name, end)
+        task = self._tasks.find(name)
         if task is None or task.phase is not TaskPhase.CLAIMED:
             return
         # Any other end is that of one run. A later run may be active on a minion that
         # was not probed yet, which the recovery will show.
         if end is RunEnd.DONE:
-            self._book.finish(task, done=True)
+            self._tasks.finish(task, done=True)
 
     def refuse(self, minion: Minion, record: RunRecord, refusal: StartRefusal) -> None:
         """Take back a run that `minion` has not started."""
@@ -180,25 +179,25 @@
             case StartRefusal.MALFORMED:
                 task.failures += 1
                 if task.failures >= task.of.attempts:
-                    self._book.finish(task, done=False)
+                    self._tasks.finish(task, done=False)
                     return
             case _:
                 task.avoided.add(minion.entry.id)
-        self._book.queue(task)
+        self._tasks.queue(task)
 
     def confirm_stopped(self, minion: Minion, record: RunRecord) -> None:
         """Take note that `record` was stopped and lists no end, so it never ran."""
         if minion.remove(record):
             self._events.ended(minion, record, RunEnd.STOPPED)
             if record.task is not None:
-                self._book.queue(record.task)
+                self._tasks.queue(record.task)
 
     def give_up_all(self, minion: Minion) -> None:
         """Give back the tasks of all runs on `minion`: they may be at work there."""
         for record in list(minion.runs.values()):
             minion.lose(record)
             if record.task is not None:
-                self._book.give_up(record.task)
+                self._tasks.give_up(record.task)
 
     def expire_all(self, minion: Minion) -> None:
         """Take note that all runs on `minion` have ended for sure."""
--- a/src/brasstray/pool/step_tasks.py
+++ b/src/brasstray/pool/step_tasks.py
@@ -1,4 +1,4 @@
-"""Keep the book of the tasks of one step that a requester asked for."""
+"""Hold the tasks of one step that a requester asked for."""
 
 from __future__ import annotations
 
--- a/src/brasstray/pool/task_book.py
+++ b/src/brasstray/pool/task_registry.py
@@ -1,4 +1,4 @@
-"""Keep the book of the tasks that the owner of a pool was asked to run."""
+"""Register the tasks that the owner of a pool was asked to run."""
 
 from __future__ import annotations
 
@@ -32,7 +32,7 @@
     at: timedelta
 
 
-class TaskBook:
+class TaskRegistry:
     """Hold the steps that requesters asked for, and the ends of the last seconds."""
 
     def __init__(self, clock: Clock, events: OwnerEvents) -> None:
@@ -165,4 +165,4 @@
     )
 
 
-__all__ = ["TaskBook"]
+__all__ = ["TaskRegistry"]
--- a/tests/pool/test_cold_minions.py
+++ b/tests/pool/test_cold_minions.py
@@ -23,7 +23,7 @@
 from brasstray.pool.run_judge import RunJudge
 from brasstray.pool.run_record import RunRecord, RunState
 from brasstray.pool.run_tracker import RunTracker
-from brasstray.pool.task_book import TaskBook
+from brasstray.pool.task_registry import TaskRegistry
 from brasstray.store.entry import StoreEntry
 
 
@@ -92,7 +92,7 @@
     # that were taken for the queue's or the minions' own speed, jobs would be refused,
     # and the data centre left unused, for seconds after it is warm.
     durations, clock = Durations(1.5), Clock()
-    book = TaskBook(clock, Silent())
+    book = TaskRegistry(clock, Silent())
     where, made = cold(minion("a"), left_ms), step()
     made.requester = Silent()
     judge = RunJudge(lambda: [where], Silent())
--- a/tests/pool/test_task_book.py
+++ b/tests/pool/test_task_registry.py
@@ -11,7 +11,7 @@
 from brasstray.clock.loop import LoopClock
 from brasstray.peer.message.run_tasks import RunTasks
 from brasstray.pool.pool_task import PoolTask, TaskPhase
-from brasstray.pool.task_book import TaskBook
+from brasstray.pool.task_registry import TaskRegistry
 
 JOB = "a" * 16
 
@@ -71,13 +71,13 @@
     requester = Requester()
 
     async def story():
-        book = TaskBook(LoopClock(), Silent())
-        step = book.take(requester, request(len(ends)))
+        registry = TaskRegistry(LoopClock(), Silent())
+        step = registry.take(requester, request(len(ends)))
         for index in range(len(ends)):
             name = TaskName(JOB, 0, index)
             step.tasks[index] = PoolTask(name, step, TaskPhase.PLACED, RunNumber(1))
         for index, done in enumerate(ends):
-            book.finish(step.tasks[index], done=done)
+            registry.finish(step.tasks[index], done=done)
 
     run_virtual(story)
     assert requester.told == told
