--- a/src/brasstray/pool/lease_clock.py
+++ b/src/brasstray/pool/lease_clock.py
@@ -1,4 +1,4 @@
-"""Bound what a minion's clock shows, from what it showed last."""
+"""Bound a minion's monotonic clock and the expiry of its leases."""
 
 from __future__ import annotations
 
@@ -11,17 +11,15 @@
     from brasstray.pool.timing import PoolTiming
 
 _MILLISECOND = timedelta(milliseconds=1)
-# The platform's minions carry out orders that had no answer up to 12 s late, and grant
-# at most 1 s each: after this an order changes nothing any more.
+# Minions may carry out an unanswered order up to 12 s late, for a lease of at most 1 s.
 LATEST_EFFECT = timedelta(seconds=13)
 
 
 class LeaseClock:
-    """Reckon one minion's steady clock and the latest lease it may hold.
+    """Track a minion's monotonic clock and the latest expiry of its leases.
 
-    The clock was read somewhere between a call's sending and its response, and may run
-    slow. So time counts from the response at the slowest rate: a lease has ended for
-    sure only when that has passed it.
+    The clock was read between a call's sending and its response, and may run slow. So
+    time counts from the response at the slowest rate.
     """
 
     def __init__(self, timing: PoolTiming) -> None:
@@ -39,41 +37,38 @@
         return self._shown_ms is not None
 
     def show(self, clock_ms: int, sent: timedelta, received: timedelta) -> None:
-        """Note that the response to a call, received at `received`, showed `clock_ms`.
+        """Record that the response to a call showed `clock_ms`.
 
-        `sent` is when the call was sent.
+        The call was sent at `sent` and its response received at `received`.
         """
         if self._shown_ms is None:
-            # Guards against a second run beside one that an earlier owner started: it
-            # lives under a lease that this owner knows nothing of, and was started
-            # elsewhere some 0.1 s after the pool had changed hands. With the response
-            # the minion has seen our token, so that no earlier owner extends a lease
-            # any more, and none that it gave can be longer than what minions grant.
+            # The previous owner may have renewed leases this owner has not seen. Assume
+            # the longest one, or a task could run twice after a failover. From now on
+            # the minion's fencing token keeps the previous owner from renewing more.
             self._latest_until_ms = (
                 clock_ms + self._timing.longest_lease // _MILLISECOND
             )
         self._shown_ms = clock_ms
         self._shown_at = received
         if self._unanswered_at is not None and sent > self._unanswered_at:
-            # The minion lived after that order, so it is the order or its answer that
-            # was lost or held up. Where the minion has died, no answer follows.
+            # The minion answered a later call, so the order or its response was lost
+            # or held up. A minion that has died answers none.
             self._late_until = self._unanswered_at + LATEST_EFFECT
             self._unanswered_at = None
 
     def miss(self, sent: timedelta) -> None:
-        """Note that an order sent at `sent`, which may extend leases, had no answer."""
+        """Record that an order sent at `sent`, which may extend leases, had no answer."""
         self._unanswered_at = sent
 
     def may_be_extended(self, now: timedelta) -> bool:
-        """Tell whether an order that is held up may still extend leases at `now`.
+        """Tell whether a late order may still extend leases at `now`.
 
-        Guards against one that comes after the minion has gone out of reach: its runs
-        would go on after `expiry_wait`, while their tasks are at work elsewhere.
+        Its runs would outlive `expiry_wait`, beside a second run of their tasks.
         """
         return now < self._late_until
 
     def next_until(self, now: timedelta) -> int:
-        """Return the lease to ask for at `now`, and note that it may be granted."""
+        """Return the lease to ask for at `now`, and record that it may be granted."""
         assert self._shown_ms is not None
         passed = (now - self._shown_at + self._timing.lease) // _MILLISECOND
         until = self._shown_ms + passed
@@ -82,10 +77,9 @@
         return until
 
     def expiry_wait(self, now: timedelta) -> timedelta:
-        """Return how long until every lease has ended for sure, whoever asked for it.
+        """Return how long until every lease has expired, whichever owner asked for it.
 
-        Before the minion has answered that cannot be told: earlier owners may go on
-        extending its leases.
+        Until the minion has answered, a previous owner may go on renewing its leases.
         """
         if self._shown_ms is None:
             return self._timing.longest_lease
--- a/src/brasstray/pool/lease_reckoning.py
+++ b/src/brasstray/pool/lease_reckoning.py
@@ -1,4 +1,4 @@
-"""Tell what the end of the leases on a minion is reckoned from."""
+"""Describe what the expiry of the leases on a minion is derived from."""
 
 from __future__ import annotations
 
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -167,8 +167,8 @@
             try:
                 await self._deposed.wait()
             finally:
-                # Guards against orders after the end: messages and callers that end
-                # still reach this object for a moment, and it must not act any more.
+                # Messages still reach this object for a moment, and must not make it
+                # send orders under a token that has passed on.
                 self._deposed.set()
                 self._dispatcher.end()
                 group.cancel_scope.cancel()
@@ -252,9 +252,9 @@
     def _run_of(self, name: TaskName) -> tuple[Minion, RunRecord] | None:
         """Return a run of the task that goes on, or else one that is being stopped.
 
-        Guards against a second run beside one that is being stopped: on a minion out
-        of reach it may go on for a whole lease. A requester that was silent for too
-        long and asks again brings this about. The task waits until that run has ended.
+        A requester that was silent for too long may ask again while its runs are being
+        stopped, which takes a whole lease on an unreachable minion. The task waits until
+        that run has ended.
         """
         runs = [
             (minion, record)
@@ -332,34 +332,34 @@
         self.dispatch()
 
     def confirm_stopped(self, minion: Minion, record: RunRecord) -> None:
-        """Take note that `record` was stopped and lists no end, so it never ran."""
+        """Record that `record` was stopped and lists no end, so it never ran."""
         self._runs.confirm_stopped(minion, record)
         self.dispatch()
 
     def reach_minion(self, minion: Minion) -> None:
-        """Take note that `minion` came into reach or went out of it."""
+        """Record that `minion` became reachable or unreachable."""
         self._events.reach_changed(minion)
         self.dispatch()
 
     def take_back(self, minion: Minion, silent: timedelta) -> None:
-        """Take note that `minion` is about to be in reach after a silence."""
+        """Record that `minion` is about to be reachable after a silence."""
         self._judge.note_back(minion, silent, self._clock.monotonic())
 
     async def confirm(self) -> bool:
         """Tell whether the store says that this owner still has the pool.
 
-        Guards against a successor that this owner has not heard of: it may have reached
-        a minion that is silent here, and extended the lease of the runs there.
+        A successor that this owner has not heard of may reach a minion that is
+        unreachable here, and renew the leases there.
         """
         return await self._confirm()
 
     def expire_minion(
         self, minion: Minion, reckoning: LeaseReckoning, *, certain: bool
     ) -> None:
-        """Take note that every lease on `minion` is over.
+        """Record that every lease on `minion` has expired.
 
-        Unless that is `certain`, the tasks there are not started elsewhere but given
-        back as in doubt.
+        Unless that is `certain`, the tasks there are not started elsewhere but returned
+        with an unknown outcome.
         """
         if minion.runs:
             self._events.leases_expired(minion, reckoning, certain=certain)
@@ -368,7 +368,7 @@
         self.lose_minion(minion, gone=False)
 
     def lose_minion(self, minion: Minion, *, gone: bool) -> None:
-        """Take note that all runs on `minion` have ended for sure."""
+        """Record that all runs on `minion` have ended."""
         if gone:
             minion.reach = Reach.GONE
             self._events.reach_changed(minion)
--- a/src/brasstray/pool/run_tracker.py
+++ b/src/brasstray/pool/run_tracker.py
@@ -90,9 +90,8 @@
     def _take_unknown(self, minion: Minion, run: ActiveRun) -> None:
         """Take a run that this owner did not start, or took for ended.
 
-        It becomes the run of its task unless that has another; if nobody can claim it,
-        it is stopped. Guards against a second run beside it: a task that waits would
-        start elsewhere while what was found is still being stopped.
+        It becomes the run of its task unless that has another; if it is orphaned, it is
+        stopped. A waiting task could otherwise start elsewhere during that stop.
         """
         record = RunRecord(
             run.task,
@@ -186,7 +185,7 @@
         self._tasks.queue(task)
 
     def confirm_stopped(self, minion: Minion, record: RunRecord) -> None:
-        """Take note that `record` was stopped and lists no end, so it never ran."""
+        """Record that `record` was stopped and lists no end, so it never ran."""
         if minion.remove(record):
             self._events.ended(minion, record, RunEnd.STOPPED)
             if record.task is not None:
@@ -200,7 +199,7 @@
                 self._tasks.give_up(record.task)
 
     def expire_all(self, minion: Minion) -> None:
-        """Take note that all runs on `minion` have ended for sure."""
+        """Record that all leases on `minion` have expired, and all runs with them."""
         for record in list(minion.runs.values()):
             minion.lose(record)
             self._take_end(minion, record, RunEnd.EXPIRED)
