--- a/src/brasstray/pool/lease_clock.py
+++ b/src/brasstray/pool/lease_clock.py
@@ -43,8 +43,8 @@
         """
         if self._shown_ms is None:
             # The previous owner may have renewed leases this owner has not seen. Assume
-            # the longest one, or a task could run twice after a failover. From now on
-            # the minion's fencing token keeps the previous owner from renewing more.
+            # the longest one, or a task could run twice after a failover. That owner is
+            # fenced by now and renews none any more.
             self._latest_until_ms = (
                 clock_ms + self._timing.longest_lease // _MILLISECOND
             )
@@ -57,7 +57,7 @@
             self._unanswered_at = None
 
     def miss(self, sent: timedelta) -> None:
-        """Record that an order sent at `sent`, which may extend leases, had no answer."""
+        """Record an unanswered order, sent at `sent`, that may renew leases."""
         self._unanswered_at = sent
 
     def may_be_extended(self, now: timedelta) -> bool:
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -253,8 +253,8 @@
         """Return a run of the task that goes on, or else one that is being stopped.
 
         A requester that was silent for too long may ask again while its runs are being
-        stopped, which takes a whole lease on an unreachable minion. The task waits until
-        that run has ended.
+        stopped, which takes a whole lease on an unreachable minion. The task waits
+        until that run has ended.
         """
         runs = [
             (minion, record)
