--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -16,6 +16,34 @@
 Story = Callable[[MemorySystem], Awaitable[Any]]
 
 
+# The model checks and the longest streams begin first: begun last, each would keep the
+# run waiting for one process.
+LONGEST_FIRST = (
+    "tests/spec/test_pool_protocol.py",
+    "tests/host/test_random_streams.py",
+    "tests/spec/",
+    "tests/failures/",
+    "tests/entry/",
+)
+# Real processes with time limits share one worker, so that they do not compete.
+REAL_PROCESSES = ("tests/daemon/", "tests/platform/test_whole_path.py")
+
+
+def pytest_collection_modifyitems(items: list[pytest.Item]) -> None:
+    """Spread the tests over the workers of a parallel run."""
+    for item in items:
+        if item.nodeid.startswith(REAL_PROCESSES):
+            item.add_marker(pytest.mark.xdist_group("real processes"))
+    items.sort(key=_place)
+
+
+def _place(item: pytest.Item) -> int:
+    for place, prefix in enumerate(LONGEST_FIRST):
+        if item.nodeid.startswith(prefix):
+            return place
+    return len(LONGEST_FIRST)
+
+
 # Chooses another order of events in every story; the tests must hold under any.
 SCHEDULE_SEED = int(os.environ.get("SCHEDULE_SEED", "1"))
 
