--- a/spec/resend_timing.py
+++ b/spec/resend_timing.py
@@ -49,7 +49,7 @@
         lease=_ticks(slowest),
         orphan_timeout=_ticks(pool.orphan_timeout + pool.recovery_timeout),
         stop_time=_ticks(pool.stop_time),
-        heard_until_told=coordinator.lost_patience // TICK,
+        heard_until_told=coordinator.lost_pool_timeout // TICK,
         resend=RESEND // TICK,
     )
 
--- a/src/brasstray/coordinator/coordinator.py
+++ b/src/brasstray/coordinator/coordinator.py
@@ -69,14 +69,14 @@
         """Tell whether the job is at work here."""
         return batch in self._active
 
-    async def run(self, batch: Batch, queue: Queue, patience: timedelta) -> BatchResult:
-        """Return the result of `batch`, whose caller waits for `patience`.
+    async def run(self, batch: Batch, queue: Queue, timeout: timedelta) -> BatchResult:
+        """Return the result of `batch`, whose caller waits for `timeout`.
 
         If the caller's wait is cancelled and nobody else waits, its runs are stopped.
         """
         active = self._active.get(batch.id)
         if active is None:
-            active = self._begin(batch, queue, patience)
+            active = self._begin(batch, queue, timeout)
             await self._send_first(active)
         active.waiters += 1
         left = active.limit - self._clock.monotonic()
@@ -94,7 +94,7 @@
         assert active.result is not None
         return active.result
 
-    def _begin(self, batch: Batch, queue: Queue, patience: timedelta) -> ActiveBatch:
+    def _begin(self, batch: Batch, queue: Queue, timeout: timedelta) -> ActiveBatch:
         now = self._clock.monotonic()
         objective = chain_of(batch) * queue.stretch + queue.slack
         active = ActiveBatch(
@@ -103,7 +103,7 @@
             now,
             now + objective,
             now + objective * USEFUL_OBJECTIVES,
-            now + patience,
+            now + timeout,
             steps_left={n: step.count for n, step in enumerate(batch.steps)},
         )
         self._active[batch.id] = active
@@ -115,7 +115,7 @@
             self._refuse_evacuated(active)
             return
         pool = self._choose(active.batch.id)
-        deadline = self._clock.monotonic() + self._timing.pool_patience
+        deadline = self._clock.monotonic() + self._timing.pool_timeout
         while pool is None and self._clock.monotonic() < deadline:
             await self._clock.sleep(self._timing.tick / 5)
             pool = self._choose(active.batch.id)
@@ -343,7 +343,7 @@
                     self._lost_since.pop(pool, None)
                     continue
                 since = self._lost_since.setdefault(pool, now)
-                if now - since >= self._timing.lost_patience:
+                if now - since >= self._timing.lost_pool_timeout:
                     lost = BatchResult(BatchOutcome.UNKNOWN, GiveUpReason.POOL_LOST)
                     self._end(active, lost)
                     break
--- a/src/brasstray/coordinator/timing.py
+++ b/src/brasstray/coordinator/timing.py
@@ -10,14 +10,14 @@
 class CoordinatorTiming:
     """Set how long a coordinator waits; docs/INVARIANTS.md has the inequality.
 
-    `pool_patience` is how long a new job waits for any owner, about a takeover.
-    `lost_patience` is how long tasks at a pool without an owner in reach are waited
+    `pool_timeout` is how long a new job waits for any owner, about a takeover.
+    `lost_pool_timeout` is how long tasks at a pool without an owner in reach are waited
     for. `retry_after` is told when nothing better is known, `evacuated_retry_after`
     while every data centre is evacuated, which lasts for several seconds at least.
     """
 
-    pool_patience: timedelta = timedelta(milliseconds=300)
-    lost_patience: timedelta = timedelta(milliseconds=900)
+    pool_timeout: timedelta = timedelta(milliseconds=300)
+    lost_pool_timeout: timedelta = timedelta(milliseconds=900)
     retry_after: timedelta = timedelta(seconds=1)
     evacuated_retry_after: timedelta = timedelta(seconds=5)
     tick: timedelta = timedelta(milliseconds=50)
--- a/src/brasstray/host/event_log.py
+++ b/src/brasstray/host/event_log.py
@@ -56,7 +56,7 @@
             reason=reason,
             took_ms=took // _MILLISECOND,
             objective_ms=objective // _MILLISECOND,
-            patience_ms=(active.limit - active.arrived) // _MILLISECOND,
+            timeout_ms=(active.limit - active.arrived) // _MILLISECOND,
             unfinished={
                 f"{step}.{index}": pool
                 for (step, index), pool in list(active.placed.items())[:8]
--- a/src/brasstray/host/ownership.py
+++ b/src/brasstray/host/ownership.py
@@ -79,7 +79,7 @@
         self._known = False
         self._draining = False
         self._vacant_since: timedelta | None = None
-        self._patience = timedelta(0)
+        self._timeout = timedelta(0)
         self._recent = RecentTakeovers(timing.takeover_memory)
 
     @property
@@ -203,9 +203,9 @@
         now = self._clock.monotonic()
         if self._vacant_since is None:
             self._vacant_since = now
-            patience = self._timing.vacancy_patience + self._turn()
-            self._patience = patience * self._recent.patience_factor(now)
-        return now - self._vacant_since >= self._patience
+            timeout = self._timing.vacancy_timeout + self._turn()
+            self._timeout = timeout * self._recent.timeout_factor(now)
+        return now - self._vacant_since >= self._timeout
 
     def _turn(self) -> timedelta:
         """Return how long this host leaves the pool to those that come before it."""
@@ -232,7 +232,7 @@
                 # work for all of them, so that the next owner is slower still to
                 # answer, is taken for dead, and no caller is served any more.
                 known_for = self._directory.known_for(self._pool)
-                return known_for >= self._timing.newcomer_patience
+                return known_for >= self._timing.newcomer_timeout
             case OwnerReach.UP:
                 return False
 
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -267,9 +267,9 @@
         return self.config.current
 
     async def run_job(
-        self, batch: Batch, queue: Queue, patience: timedelta
+        self, batch: Batch, queue: Queue, timeout: timedelta
     ) -> BatchResult:
-        """Return the result of `batch`, whose caller waits for `patience`.
+        """Return the result of `batch`, whose caller waits for `timeout`.
 
         Guards against requests that come on open connections while this host leaves:
         one that is read and still waits when the process ends has no answer at all.
@@ -282,7 +282,7 @@
                     batch.id, GiveUpReason.STOPPING, f"{left // _MILLISECOND} ms left"
                 )
                 return BatchResult(BatchOutcome.NOT_RUN, GiveUpReason.STOPPING)
-        return await self._coordinator.run(batch, queue, patience)
+        return await self._coordinator.run(batch, queue, timeout)
 
     # Owning
 
--- a/src/brasstray/host/pool_link.py
+++ b/src/brasstray/host/pool_link.py
@@ -37,7 +37,7 @@
 # takes some 2 ms of processor time at both ends.
 IDLE_TIME = timedelta(seconds=3)
 # How long a request waits for a link that cannot be opened, about a takeover.
-EARLY_PATIENCE = timedelta(milliseconds=300)
+EARLY_TIMEOUT = timedelta(milliseconds=300)
 # After it could not be reached, an owner is not asked for this long while others are.
 AVOIDED_TIME = timedelta(seconds=1)
 
@@ -211,7 +211,7 @@
         owner may be one that has just died, and a successor about to take over.
         """
         self._failed_at = self._clock.monotonic()
-        if self._early and self._failed_at - self._asked_at < EARLY_PATIENCE:
+        if self._early and self._failed_at - self._asked_at < EARLY_TIMEOUT:
             return
         for request in self.take_early():
             returned = TasksReturned(
--- a/src/brasstray/host/recent_takeovers.py
+++ b/src/brasstray/host/recent_takeovers.py
@@ -18,7 +18,7 @@
 class RecentTakeovers:
     """Remember the owners of the last seconds.
 
-    One death in that time is met at once. From the second takeover on the patience
+    One death in that time is met at once. From the second takeover on the timeout
     doubles: hosts that see one another badly, as in a partial partition, would
     otherwise take the pool from each other as fast as they can.
     """
@@ -34,7 +34,7 @@
             self._newest = token
             self._times.append(now)
 
-    def patience_factor(self, now: timedelta) -> int:
+    def timeout_factor(self, now: timedelta) -> int:
         """Return how many times as long as usual an owner is waited for."""
         while self._times and now - self._times[0] > self._memory:
             self._times.popleft()
--- a/src/brasstray/host/timing.py
+++ b/src/brasstray/host/timing.py
@@ -22,12 +22,12 @@
     `slow_ping` and `slow_owner_silence` take their place between an owner and a host
     that it has not named as a successor, the first while no task of that host is there;
     twice `slow_ping` is the most that `requester_silence` allows.
-    `vacancy_patience` is how long an owner is waited for once it is lost, and
+    `vacancy_timeout` is how long an owner is waited for once it is lost, and
     `claim_jitter` spreads the hosts that would take its pool over at once.
-    `newcomer_patience` is how long a new owner may take to be reached: it learns of its
+    `newcomer_timeout` is how long a new owner may take to be reached: it learns of its
     claim, opens a connection to each minion and answers each host, which took 0.1 s on
     a fast machine and 0.4 s on one a fifth as fast.
-    `takeover_memory` is for how long takeovers count that double the patience.
+    `takeover_memory` is for how long takeovers count that double the timeout.
     `config_head_start` is how long the store may take to bring a configuration that
     another host has already: 0.14 s for 930 routes on a link of 12.5 Mbit/s. It leaves
     1.4 of the two seconds, in which a change must be in force, to fetch it instead.
@@ -50,9 +50,9 @@
     owner_silence: timedelta = _ms(400)
     slow_owner_silence: timedelta = _ms(800)
     reconnect: timedelta = _ms(30)
-    vacancy_patience: timedelta = _ms(60)
+    vacancy_timeout: timedelta = _ms(60)
     claim_jitter: timedelta = _ms(80)
-    newcomer_patience: timedelta = _ms(600)
+    newcomer_timeout: timedelta = _ms(600)
     takeover_memory: timedelta = _ms(10_000)
     config_head_start: timedelta = _ms(300)
     config_part: timedelta = _ms(600)
--- a/src/brasstray/http/client_connection.py
+++ b/src/brasstray/http/client_connection.py
@@ -14,7 +14,7 @@
     from datetime import timedelta
 
 
-# A response that comes in drips is given up after so many times the patience. One of
+# A response that comes in drips is given up after so many times the timeout. One of
 # 1.4 MB, the largest value as the store sends it, takes seven at 2 Mbit/s.
 LONGEST_RESPONSE = 10
 
@@ -39,10 +39,10 @@
         """Tell whether another call may go out here."""
         return self._transport is not None and self._waiter is None
 
-    async def call(self, request: bytes, patience: timedelta) -> HttpReply:
+    async def call(self, request: bytes, timeout: timedelta) -> HttpReply:
         """Return the response to `request`.
 
-        Raise TimeoutError once nothing has come for `patience`, or ConnectionLostError.
+        Raise TimeoutError once nothing has come for `timeout`, or ConnectionLostError.
         The connection is closed unless the response was whole and lets it live.
 
         Guards against a large value that never arrives over a slow link. With a limit
@@ -53,7 +53,7 @@
             raise ConnectionLostError("closed while idle")
         loop = asyncio.get_running_loop()
         waiter = self._waiter = loop.create_future()
-        self._expire_when_silent(patience.total_seconds())
+        self._expire_when_silent(timeout.total_seconds())
         whole = False
         try:
             self._transport.write(request)
@@ -73,21 +73,21 @@
             self._transport.abort()
             self._transport = None
 
-    def _expire_when_silent(self, patience: float) -> None:
-        """Give the call up once nothing was heard for `patience`, in seconds."""
+    def _expire_when_silent(self, timeout: float) -> None:
+        """Give the call up once nothing was heard for `timeout`, in seconds."""
         loop = asyncio.get_running_loop()
         began = self._heard_at = loop.time()
         waiter = self._waiter
 
         def look() -> None:
             now = loop.time()
-            due = min(self._heard_at, began + (LONGEST_RESPONSE - 1) * patience)
-            if now < due + patience:
-                self._timer = loop.call_at(due + patience, look)
+            due = min(self._heard_at, began + (LONGEST_RESPONSE - 1) * timeout)
+            if now < due + timeout:
+                self._timer = loop.call_at(due + timeout, look)
             elif waiter is not None and not waiter.done():
                 waiter.set_exception(TimeoutError())
 
-        self._timer = loop.call_at(began + patience, look)
+        self._timer = loop.call_at(began + timeout, look)
 
     def _reset(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
--- a/src/brasstray/http/connections.py
+++ b/src/brasstray/http/connections.py
@@ -15,7 +15,7 @@
 
     from brasstray.http.reply import HttpReply
 
-CONNECT_PATIENCE_SECONDS = 1.0
+CONNECT_TIMEOUT_SECONDS = 1.0
 IDLE_CONNECTIONS = 16
 # The kernel gives up on unacknowledged bytes after this long; without it a connection
 # into a partition hangs for minutes.
@@ -40,7 +40,7 @@
         method: str,
         target: str,
         content: bytes,
-        patience: timedelta,
+        timeout: timedelta,
         headers: Sequence[tuple[bytes, bytes]] = (),
     ) -> HttpReply:
         """Return the response; raise TimeoutError or an HttpCallError without one."""
@@ -53,8 +53,8 @@
         request = b"\r\n".join(lines) + b"\r\n\r\n" + content
         connection = self._take_idle()
         if connection is None:
-            connection = await self._connect(patience)
-        reply = await connection.call(request, patience)
+            connection = await self._connect(timeout)
+        reply = await connection.call(request, timeout)
         if connection.usable and len(self._idle) < self._most_idle:
             self._idle.append(connection)
         else:
@@ -76,9 +76,9 @@
                 return connection
         return None
 
-    async def _connect(self, patience: timedelta) -> ClientConnection:
+    async def _connect(self, timeout: timedelta) -> ClientConnection:
         loop = asyncio.get_running_loop()
-        seconds = min(patience.total_seconds(), CONNECT_PATIENCE_SECONDS)
+        seconds = min(timeout.total_seconds(), CONNECT_TIMEOUT_SECONDS)
         try:
             async with asyncio.timeout(seconds):
                 transport, connection = await loop.create_connection(
--- a/src/brasstray/platform/front_app.py
+++ b/src/brasstray/platform/front_app.py
@@ -25,8 +25,8 @@
     from brasstray.http.exchange import Receive, Scope, Send
 
 DEADLINE_HEADER = "x-deadline"
-# A caller that says nothing of its patience is taken to wait as long as most do.
-DEFAULT_PATIENCE = timedelta(milliseconds=1_500)
+# A caller that says nothing of its timeout is taken to wait as long as most do.
+DEFAULT_TIMEOUT = timedelta(milliseconds=1_500)
 _JOB_ID = re.compile(r"[0-9a-f]{16}")
 _CLOSE = (("connection", "close"),)
 _STATE_OF = {BatchOutcome.SUCCEEDED: "succeeded", BatchOutcome.FAILED: "failed"}
@@ -103,7 +103,7 @@
         results: list[BatchResult] = []
 
         async def run(scope_: anyio.CancelScope) -> None:
-            found = await self._host.run_job(batch, queue, _patience(scope))
+            found = await self._host.run_job(batch, queue, _timeout(scope))
             results.append(found)
             scope_.cancel()
 
@@ -116,12 +116,12 @@
         return _answer(results[0]) if results else None
 
 
-def _patience(scope: Scope) -> timedelta:
+def _timeout(scope: Scope) -> timedelta:
     text = header(scope, DEADLINE_HEADER)
     try:
-        return timedelta(milliseconds=float(text)) if text else DEFAULT_PATIENCE
+        return timedelta(milliseconds=float(text)) if text else DEFAULT_TIMEOUT
     except (ValueError, OverflowError):
-        return DEFAULT_PATIENCE
+        return DEFAULT_TIMEOUT
 
 
 def _answer(result: BatchResult) -> HttpResponse:
--- a/src/brasstray/platform/platform_minions.py
+++ b/src/brasstray/platform/platform_minions.py
@@ -56,7 +56,7 @@
         acknowledged: int,
         until_ms: int | None,
         wait: timedelta,
-        patience: timedelta,
+        timeout: timedelta,
     ) -> ProbeReply:
         """Extend the lease of all runs, and wait up to `wait` for one to end."""
         body = HoldBody(
@@ -65,7 +65,7 @@
             until_ms=until_ms,
             wait_ms=round(wait.total_seconds() * 1_000) or None,
         )
-        response = await self._call(minion, "/-/hold", body, patience)
+        response = await self._call(minion, "/-/hold", body, timeout)
         if response.status != 200:
             raise MinionSilentError(f"status {response.status}")
         try:
@@ -81,7 +81,7 @@
         run: RunNumber,
         spec: str,
         until_ms: int,
-        patience: timedelta,
+        timeout: timedelta,
     ) -> int:
         """Start a run and return the minion's clock, in milliseconds."""
         body = StartBody(
@@ -91,7 +91,7 @@
             until_ms=until_ms,
             fencing_token=token,
         )
-        response = await self._call(minion, "/-/run-start", body, patience)
+        response = await self._call(minion, "/-/run-start", body, timeout)
         if response.status == 200:
             return _reply(response).clock_ms
         if response.status in (429, 503):
@@ -109,11 +109,11 @@
         token: FencingToken,
         task: TaskName,
         run: RunNumber,
-        patience: timedelta,
+        timeout: timedelta,
     ) -> None:
         """Stop a run, or have it rejected if it arrives later."""
         body = StopBody(task=task_text(task), run=run, fencing_token=token)
-        response = await self._call(minion, "/-/run-stop", body, patience)
+        response = await self._call(minion, "/-/run-stop", body, timeout)
         if response.status != 200:
             raise MinionSilentError(f"status {response.status}")
 
@@ -124,7 +124,7 @@
             await connections.aclose()
 
     async def _call(
-        self, minion: MinionEntry, target: str, body: Body, patience: timedelta
+        self, minion: MinionEntry, target: str, body: Body, timeout: timedelta
     ) -> HttpReply:
         connections = self._connections.get(minion.id)
         if connections is None:
@@ -133,7 +133,7 @@
         headers = [(b"X-Target-Instance", str(minion.id).encode())]
         try:
             response = await connections.call(
-                "POST", target, body.encode(), patience, headers
+                "POST", target, body.encode(), timeout, headers
             )
         except (TimeoutError, HttpCallError) as error:
             raise MinionSilentError(repr(error)) from error
--- a/src/brasstray/platform/platform_store.py
+++ b/src/brasstray/platform/platform_store.py
@@ -34,7 +34,7 @@
 
 # The store answers in 4 ms; a slow one takes 50 times as long and more. A call that
 # a silent store swallowed never returns.
-CALL_PATIENCE = timedelta(milliseconds=800)
+CALL_TIMEOUT = timedelta(milliseconds=800)
 # What a waiting watch may take beyond its wait.
 WATCH_MARGIN = timedelta(milliseconds=400)
 IDLE_CONNECTIONS = 3
@@ -94,7 +94,7 @@
         """Return the changes under `prefix` after a version, or none after `wait`."""
         query = {"Prefix": prefix, "After": after, "WaitMs": wait // _MILLISECOND}
         target = f"/-/kv-watch?{urlencode(query)}"
-        response = await self._call("GET", target, patience=wait + WATCH_MARGIN)
+        response = await self._call("GET", target, timeout=wait + WATCH_MARGIN)
         if response.status == 410:
             raise HistoryLostError(prefix)
         return _decode(Events, response).changes()
@@ -113,11 +113,11 @@
         method: str,
         target: str,
         content: bytes = b"",
-        patience: timedelta = CALL_PATIENCE,
+        timeout: timedelta = CALL_TIMEOUT,
     ) -> HttpReply:
         what = f"{method} {target.partition('?')[0]}"
         try:
-            response = await self._connections.call(method, target, content, patience)
+            response = await self._connections.call(method, target, content, timeout)
         except TimeoutError as error:
             raise StoreUnavailableError(f"{what}: no answer") from error
         except HttpCallError as error:
--- a/src/brasstray/pool/minion_calls.py
+++ b/src/brasstray/pool/minion_calls.py
@@ -26,7 +26,7 @@
         acknowledged: int,
         until_ms: int | None,
         wait: timedelta,
-        patience: timedelta,
+        timeout: timedelta,
     ) -> ProbeReply:
         """Extend the lease of all runs, and wait up to `wait` for one to end."""
 
@@ -38,7 +38,7 @@
         run: RunNumber,
         spec: str,
         until_ms: int,
-        patience: timedelta,
+        timeout: timedelta,
     ) -> int:
         """Start a run and return the minion's clock, in milliseconds."""
 
@@ -48,7 +48,7 @@
         token: FencingToken,
         task: TaskName,
         run: RunNumber,
-        patience: timedelta,
+        timeout: timedelta,
     ) -> None:
         """Stop a run, or have it rejected if it arrives later."""
 
--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -351,8 +351,8 @@
             self._owner.confirm_stopped(self._minion, record)
 
     async def _call_stop(self, name: TaskName, run: RunNumber) -> None:
-        patience = self._timing.call_timeout + self._lag.allowance
-        await self._calls.stop(self._minion.entry, self._token, name, run, patience)
+        timeout = self._timing.call_timeout + self._lag.allowance
+        await self._calls.stop(self._minion.entry, self._token, name, run, timeout)
         self._answers += 1
 
 
--- a/src/brasstray/pool/run_judge.py
+++ b/src/brasstray/pool/run_judge.py
@@ -8,7 +8,7 @@
 from brasstray.pool.minion import Reach
 from brasstray.pool.minion_health import Evidence
 from brasstray.pool.run_record import RunState
-from brasstray.pool.straggling import SIBLINGS_PATIENCE, pace, straggles
+from brasstray.pool.straggling import SIBLINGS_TIMEOUT, pace, straggles
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -72,7 +72,7 @@
 
     def _siblings_untold(self, record: RunRecord, now: timedelta) -> bool:
         """Tell whether tasks of the same step elsewhere will soon show their pace."""
-        if now - record.began > SIBLINGS_PATIENCE:
+        if now - record.began > SIBLINGS_TIMEOUT:
             return False
         assert record.task is not None
         if len(record.task.of.tasks) < 2:
--- a/src/brasstray/pool/straggling.py
+++ b/src/brasstray/pool/straggling.py
@@ -18,7 +18,7 @@
 # Below this the start's own delay is most of what is seen.
 SHORTEST_EVIDENCE = timedelta(milliseconds=120)
 # Minions are looked at every 150 ms, so siblings have shown their pace by then.
-SIBLINGS_PATIENCE = timedelta(milliseconds=350)
+SIBLINGS_TIMEOUT = timedelta(milliseconds=350)
 # A restart must save this much: the run's remaining time against a whole new run.
 LEAST_GAIN = 1.2
 
@@ -51,4 +51,4 @@
     return whole / record.expected
 
 
-__all__ = ["SIBLINGS_PATIENCE", "pace", "straggles"]
+__all__ = ["SIBLINGS_TIMEOUT", "pace", "straggles"]
--- a/src/brasstray_standins/leased_minions.py
+++ b/src/brasstray_standins/leased_minions.py
@@ -72,7 +72,7 @@
         acknowledged: int,
         until_ms: int | None,
         wait: timedelta,
-        patience: timedelta,
+        timeout: timedelta,
     ) -> ProbeReply:
         """Extend the lease of all runs, and wait up to `wait` for one to end."""
 
@@ -88,9 +88,9 @@
                 return await place.hold(minion, token, 0, until, timedelta(0))
 
             self._group.start_soon(self._act_late, minion, extend)
-            await self._clock.sleep(patience)
+            await self._clock.sleep(timeout)
             raise MinionSilentError("held back")
-        return await self._call(minion, act, patience)
+        return await self._call(minion, act, timeout)
 
     async def start(
         self,
@@ -100,7 +100,7 @@
         run: RunNumber,
         spec: str,
         until_ms: int,
-        patience: timedelta,
+        timeout: timedelta,
     ) -> int:
         """Start a run and return the minion's clock."""
         del spec
@@ -111,9 +111,9 @@
         if self.late > 0:
             self.late -= 1
             self._group.start_soon(self._act_late, minion, act)
-            await self._clock.sleep(patience)
+            await self._clock.sleep(timeout)
             raise MinionSilentError("held back")
-        return await self._call(minion, act, patience)
+        return await self._call(minion, act, timeout)
 
     async def _act_late(
         self,
@@ -135,7 +135,7 @@
         token: FencingToken,
         task: TaskName,
         run: RunNumber,
-        patience: timedelta,
+        timeout: timedelta,
     ) -> None:
         """Stop a run, or have it refused if it comes later."""
 
@@ -145,7 +145,7 @@
                 return
             place.stop(minion, token, task, run)
 
-        await self._call(minion, act, patience)
+        await self._call(minion, act, timeout)
 
     async def forget(self, minion: MinionEntry) -> None:
         """Close nothing."""
@@ -154,7 +154,7 @@
         self,
         minion: MinionEntry,
         act: Callable[[LeasedMinion], Awaitable[_T]],
-        patience: timedelta,
+        timeout: timedelta,
     ) -> _T:
         await self._gate.wait()
         self.calls[minion.id] += 1
@@ -163,9 +163,9 @@
             assert self.chaos is not None
             lateness = self.chaos.draw_lateness()
             self._group.start_soon(self._act_late, minion, act, lateness)
-            await self._clock.sleep(patience)
+            await self._clock.sleep(timeout)
             raise MinionSilentError("held back")
-        with anyio.move_on_after(patience.total_seconds()):
+        with anyio.move_on_after(timeout.total_seconds()):
             if self.effort:
                 async with self._processor:
                     await self._clock.sleep(self.effort)
--- a/src/brasstray_standins/memory_streams.py
+++ b/src/brasstray_standins/memory_streams.py
@@ -23,7 +23,7 @@
     from brasstray_standins.gate import Gate
 
 ONE_WAY = timedelta(milliseconds=1.5)
-OPEN_PATIENCE = timedelta(milliseconds=400)
+OPEN_TIMEOUT = timedelta(milliseconds=400)
 
 
 class Network:
@@ -153,7 +153,7 @@
         await self._clock.sleep(self._network.opening)
         host = self._network.listening.get(address)
         if not self._network.connected(self._here, address):
-            await self._clock.sleep(OPEN_PATIENCE)
+            await self._clock.sleep(OPEN_TIMEOUT)
             raise StreamClosedError("no answer")
         if host is None:
             raise NobodyListensError("refused")
--- a/src/brasstray_standins/pool_system.py
+++ b/src/brasstray_standins/pool_system.py
@@ -328,11 +328,11 @@
         await self.clock.sleep(timedelta(seconds=1))
 
     async def submit(
-        self, name: str, batch: Batch, patience: timedelta = timedelta(seconds=3)
+        self, name: str, batch: Batch, timeout: timedelta = timedelta(seconds=3)
     ) -> BatchResult:
         """Return the result of a job submitted to the host called `name`."""
         coordinator = self.hosts[name].host.coordinator
-        return await coordinator.run(batch, usual_queue(), patience)
+        return await coordinator.run(batch, usual_queue(), timeout)
 
 
 __all__ = [
--- a/tests/host/storm.py
+++ b/tests/host/storm.py
@@ -22,7 +22,7 @@
 )
 # What callers of the users' programs wait before they send a job again.
 RESEND_PAUSE = timedelta(milliseconds=1_300)
-PATIENCE = timedelta(seconds=4)
+TIMEOUT = timedelta(seconds=4)
 # Connections that break off while their caller waits.
 BROKEN_SHARE = 0.15
 LEAST_HOSTS = 4
@@ -94,12 +94,12 @@
     async def _try(self, name, batch):
         running = self.system.hosts[name]
         outcome = None
-        wait = PATIENCE
+        wait = TIMEOUT
         if self.random.random() < BROKEN_SHARE:
             wait = ms(self.random.randint(50, 800))
         with anyio.move_on_after(wait.total_seconds()) as scope:
             running.callers.append(scope)
-            outcome = (await self.system.submit(name, batch, PATIENCE)).outcome
+            outcome = (await self.system.submit(name, batch, TIMEOUT)).outcome
         running.callers.remove(scope)
         return outcome
 
--- a/tests/host/test_leaving.py
+++ b/tests/host/test_leaving.py
@@ -16,7 +16,7 @@
     usual_queue,
 )
 
-PATIENCE = timedelta(seconds=3)
+TIMEOUT = timedelta(seconds=3)
 GRACE = timedelta(seconds=2)
 
 
@@ -47,7 +47,7 @@
         await system.clock.sleep(GRACE - ms(left))
         began = system.clock.monotonic()
         batch = usual_batch("a" * 16, 2, ms(takes))
-        result = await host.run_job(batch, usual_queue(), PATIENCE)
+        result = await host.run_job(batch, usual_queue(), TIMEOUT)
         return result, system.clock.monotonic() - began
 
     (result, took), system = play_pools(story)
@@ -71,7 +71,7 @@
 
         async def submit(name):
             batch = usual_batch(name * 16, 2, ms(500))
-            found[name] = await host.run_job(batch, usual_queue(), 2 * PATIENCE)
+            found[name] = await host.run_job(batch, usual_queue(), 2 * TIMEOUT)
             found[name + " at"] = system.clock.monotonic()
 
         began = system.clock.monotonic()
--- a/tests/host/test_owner_reach.py
+++ b/tests/host/test_owner_reach.py
@@ -29,11 +29,11 @@
         ([(3, 0), (4, 9_000)], 25_000, 1),
     ],
 )
-def test_the_patience_doubles_with_each_takeover(takeovers, now, factor):
+def test_the_timeout_doubles_with_each_takeover(takeovers, now, factor):
     recent = RecentTakeovers(MEMORY)
     for token, at in takeovers:
         recent.note(token, ms(at))
-    assert recent.patience_factor(ms(now)) == factor
+    assert recent.timeout_factor(ms(now)) == factor
 
 
 @pytest.mark.parametrize(
--- a/tests/host/test_pool_failures.py
+++ b/tests/host/test_pool_failures.py
@@ -415,7 +415,7 @@
 
 
 def test_a_job_that_cannot_be_in_time_is_refused_as_not_run(play_pools):
-    # Minions are full of long tasks. A caller with little patience is told at once
+    # Minions are full of long tasks. A caller with a short timeout is told at once
     # when to come back, and that nothing has run: waiting would help nobody.
     size = PoolSystemSize(data_centres=1, minions_each=1)
 
--- a/tests/host/test_random_streams.py
+++ b/tests/host/test_random_streams.py
@@ -26,7 +26,7 @@
 SIZE = PoolSystemSize(data_centres=2, hosts_each=2, minions_each=3)
 HOSTS = SIZE.data_centres * SIZE.hosts_each
 MINIONS = SIZE.data_centres * SIZE.minions_each
-PATIENCE = timedelta(seconds=2)
+TIMEOUT = timedelta(seconds=2)
 RESEND_PAUSE = timedelta(milliseconds=1_300)
 HOST_FAULTS = ("kill", "restart", "freeze", "cut host", "drain", "lose", "late")
 MINION_FAULTS = ("crash", "stuck", "slow", "failing", "cut minion", "draining")
@@ -114,10 +114,10 @@
         running = self._system.hosts.get(name)
         outcome = None
         if running is not None:
-            wait = timedelta(milliseconds=80) if self._submit.hangs_up else PATIENCE
+            wait = timedelta(milliseconds=80) if self._submit.hangs_up else TIMEOUT
             with anyio.move_on_after(wait.total_seconds()) as scope:
                 running.callers.append(scope)
-                result = await self._system.submit(name, self._batch, PATIENCE)
+                result = await self._system.submit(name, self._batch, TIMEOUT)
                 outcome = result.outcome
             running.callers.remove(scope)
         self.tries.append(outcome)
--- a/tests/http/test_connections.py
+++ b/tests/http/test_connections.py
@@ -36,7 +36,7 @@
             self.transport.write(answer)
 
 
-def calls(answers, patience, count):
+def calls(answers, timeout, count):
     """Return the statuses or errors of `count` calls, and the connections they took."""
 
     class Told(Server):
@@ -52,7 +52,7 @@
         found = []
         for _ in range(count):
             try:
-                reply = await connections.call("POST", "/x", b"{}", patience)
+                reply = await connections.call("POST", "/x", b"{}", timeout)
                 found.append((reply.status, reply.content))
             except (ConnectionLostError, TimeoutError) as error:
                 found.append(type(error))
@@ -64,7 +64,7 @@
 
 
 @pytest.mark.parametrize(
-    ("answers", "patience", "results", "connections"),
+    ("answers", "timeout", "results", "connections"),
     [
         ([OK, OK], LONG, [(200, b"{}")] * 2, 1),
         ([CHUNKED, OK], LONG, [(200, b"{}")] * 2, 1),
@@ -78,8 +78,8 @@
     ],
     ids=["kept", "chunked", "closing", "reset", "unreadable", "silent", "part"],
 )
-def test_calls(answers, patience, results, connections):
-    assert calls(answers, patience, len(results)) == (results, connections)
+def test_calls(answers, timeout, results, connections):
+    assert calls(answers, timeout, len(results)) == (results, connections)
 
 
 def test_nobody_listens():
--- a/tests/http/test_slow_response.py
+++ b/tests/http/test_slow_response.py
@@ -9,7 +9,7 @@
 
 from brasstray.http.client_connection import ClientConnection
 
-PATIENCE = timedelta(milliseconds=800)
+TIMEOUT = timedelta(milliseconds=800)
 HEAD = b"HTTP/1.1 200 OK\r\ncontent-length: 1000\r\n\r\n"
 BODY = b"r" * 1000
 
@@ -53,7 +53,7 @@
             loop.call_later(gap * number, connection.data_received, part)
         began = loop.time()
         try:
-            reply = await connection.call(b"GET", PATIENCE)
+            reply = await connection.call(b"GET", TIMEOUT)
         except TimeoutError:
             return loop.time() - began, None
         return loop.time() - began, reply.content
@@ -77,7 +77,7 @@
     # Seen: after the configuration had grown, no host with a slow link got it from the
     # store any more, and nearly no caller was served again. 218 KB took 0.9 s, the call
     # was broken off after 0.8 s and made again, and the reads filled the links.
-    # Proved by: parts of a response that follow one another within the patience.
+    # Proved by: parts of a response that follow one another within the timeout.
     waited, found = took(parts, gap)
     assert waited == pytest.approx(seconds)
     assert found == body
--- a/tests/pool/takeover.py
+++ b/tests/pool/takeover.py
@@ -74,8 +74,8 @@
         self.among = set()
         self._probes = {}
 
-    async def hold(self, minion, token, acknowledged, until_ms, wait, patience):
-        reply = super().hold(minion, token, acknowledged, until_ms, wait, patience)
+    async def hold(self, minion, token, acknowledged, until_ms, wait, timeout):
+        reply = super().hold(minion, token, acknowledged, until_ms, wait, timeout)
         if until_ms is not None or minion.id not in self.among:
             return await reply
         number = self._probes.get(minion.id, 0)
@@ -83,7 +83,7 @@
         answer = await reply
         if number not in self.lost:
             return answer
-        await self._clock.sleep(patience)
+        await self._clock.sleep(timeout)
         raise MinionSilentError("lost")
 
 
