Keep comments to the reason; the figures behind the values stand here

Comments and docstrings only. A configuration part takes 10 ms on 12.5 Mbit/s, of the 250 ms a heartbeat may be late. - Links: two messages each 150 ms at both ends; at 97 hosts and 5 owners a fifth of an owner's processor. Opening one takes some 2 ms at both ends. Ranks of successors: some 10 ms for a call to the store and for its watch. Takeovers in a row: eight times 60 to 140 ms is a second. - Straggling: estimates are off by 1.5 either way (standard deviation of the logarithm 0.4), sound minions differ by 1.6, tasks of one step by a sixth; probes come every 150 ms. - Averages: some ten runs make a minion's speed known; slots follow the last twenty requests. Loop lag: 64% is still allowed a second later. Fit: an empty minion weighs as much as a run 0.3 times longer; a cold one counts as twice as slow. Two minions that fail a task absolve: with a tenth of them bad a sound task meets two in a row once in a hundred times. - Ends told with the last of a step save two of three messages for a job of the usual width.

--- a/src/brasstray/coordinator/coordinator.py
+++ b/src/brasstray/coordinator/coordinator.py
@@ -130,7 +130,7 @@
     def _choose(self, batch: BatchId) -> PoolId | None:
         reachable = self._pools.reachable()
         if self._home in reachable:
-            # Also while it is evacuated: its owner hears at once where there is room.
+            # Also while it is evacuated: its owner learns first where slots are free.
             return self._home
         return self._choose_open(batch, reachable)
 
@@ -145,8 +145,8 @@
                 reachable,
                 key=lambda pool: (reachable[pool].wait_ms, -reachable[pool].free_slots),
             )
-        # Whoever lost the owner of the home pool did so with all hosts around it: the
-        # job's id spreads them over the others.
+        # All hosts of a data centre lose their owner together: the job's id spreads
+        # their jobs over the other pools.
         unasked = sorted(p for p in self._pools.unasked() if not evacuated(p))
         return unasked[crc32(batch.encode()) % len(unasked)] if unasked else None
 
--- a/src/brasstray/host/config_exchange.py
+++ b/src/brasstray/host/config_exchange.py
@@ -19,8 +19,7 @@
     from brasstray.host.timing import HostTiming
     from brasstray.peer.pool_messages import PoolMessage
 
-# A heartbeat waits behind one part at the most: 10 ms on a link of 12.5 Mbit/s, of the
-# 250 ms that it may be late before its sender counts as silent.
+# A heartbeat waits behind one part at most, so a part must be short on narrow links.
 PART_BYTES = 16_384
 
 
--- a/src/brasstray/host/ownership.py
+++ b/src/brasstray/host/ownership.py
@@ -160,8 +160,8 @@
             if owned.owner.incarnation != self._identity.incarnation:
                 self._lose(f"taken by {owned.owner.incarnation}")
             elif not self._draining and owned.token > self._token_left:
-                # Guards against a claim whose reply was lost: the store shows that it
-                # was written, and nobody else will claim a pool that we hold.
+                # The reply to our claim was lost, but the store shows that it was
+                # written.
                 self._hold(owned)
 
     def _forget(self, key: str) -> None:
@@ -228,9 +228,8 @@
             case OwnerReach.LOST | OwnerReach.GONE | OwnerReach.RESIGNING:
                 return True
             case OwnerReach.EXPECTED:
-                # Guards against a chain of takeovers where hosts are slow: each makes
-                # work for all of them, so that the next owner is slower still to
-                # answer, is taken for dead, and no caller is served any more.
+                # On slow hosts, takeovers could chain: each makes work for all hosts,
+                # so that the next owner answers later still and is replaced as well.
                 known_for = self._directory.known_for(self._pool)
                 return known_for >= self._timing.newcomer_timeout
             case OwnerReach.UP:
--- a/src/brasstray/host/pool_link.py
+++ b/src/brasstray/host/pool_link.py
@@ -33,8 +33,7 @@
     from brasstray.peer.pool_messages import PoolMessage
 
 
-# A burst that sends tasks away comes back within a few seconds; opening a link anew
-# takes some 2 ms of processor time at both ends.
+# Bursts that forward tasks return within seconds; keeping the link saves reopening it.
 IDLE_TIME = timedelta(seconds=3)
 # How long a request waits for a link that cannot be opened, about a takeover.
 EARLY_TIMEOUT = timedelta(milliseconds=300)
@@ -48,10 +47,9 @@
     The owner is in reach once it has said that it owns the pool under the token that
     the store shows, or a higher one.
 
-    Links cost both ends two messages each 150 ms, and every host would have one to
-    every owner: at 97 hosts and 5 owners a fifth of an owner's processor. So a link is
-    kept where `keep` says so, and else opened with the first request and closed once
-    nothing was sent for IDLE_TIME and `busy` denies that tasks are there.
+    Heartbeats of links from every host to every owner would grow with the fleet. So a
+    link is kept where `keep` says so, and else opened with the first request and closed
+    once nothing was sent for IDLE_TIME and `busy` denies that tasks are there.
     """
 
     def __init__(
@@ -125,8 +123,7 @@
             case RunTasks():
                 self._ask(message)
             case StopTasks() if self._pipe is None:
-                # Guards against a request that goes out after its job has ended: what
-                # it starts would run for nobody, and nobody would stop it.
+                # A request sent after its job has ended would start orphaned runs.
                 self._early = [r for r in self._early if r.batch != message.batch]
             case _ if self._pipe is not None:
                 self._pipe.tell(message)
@@ -271,9 +268,9 @@
             if not was_up:
                 self._events.link_up(self._pool, self._owned.owner.host)
                 self._failed_at = None
-                # Guards against two runs of one task: requests that opened the link
-                # went out on it, and the owner may have given their tasks back by now,
-                # for another pool. It would queue them if they were claimed as well.
+                # Requests that opened the link were sent on it, and the owner may have
+                # returned their tasks for another pool by now. Claimed as well, they
+                # would be queued here and could run twice.
                 self._up(self._pool, frozenset(self._unclaimed))
                 self._unclaimed.clear()
         elif state.incarnation != self._owned.owner.incarnation:
--- a/src/brasstray/host/recent_takeovers.py
+++ b/src/brasstray/host/recent_takeovers.py
@@ -10,8 +10,7 @@
 
     from brasstray.batch.ids import FencingToken
 
-# Eight times 60 to 140 ms is about a second: beyond it a dead owner's callers would be
-# gone before it is replaced.
+# A longer timeout would outlast the callers of a dead owner.
 LARGEST_FACTOR = 8
 
 
--- a/src/brasstray/host/succession.py
+++ b/src/brasstray/host/succession.py
@@ -13,8 +13,7 @@
 # With the owner and two successors gone at once, as when a rack fails, the third is
 # left; hosts that are not named come after it, spread by chance.
 SUCCESSORS_NAMED = 3
-# How much later each rank claims: enough to see the claim of the one before, which
-# takes a call to the store and its watch (some 10 ms each on a busy host).
+# How much later each rank claims: enough to see the claim of the rank before it.
 RANK_STEP = timedelta(milliseconds=40)
 # A pool moves only to a host so many times as strong. Less gains little for the work of
 # a takeover, and measures of equal hosts must not make it move to and fro.
--- a/src/brasstray/host/timing.py
+++ b/src/brasstray/host/timing.py
@@ -1,4 +1,4 @@
-"""Hold the intervals by which hosts look at one another and at the store."""
+"""Hold the intervals by which hosts watch one another and the store."""
 
 from __future__ import annotations
 
@@ -25,23 +25,19 @@
     `vacancy_timeout` is how long an owner is waited for once it is lost, and
     `claim_jitter` spreads the hosts that would take its pool over at once.
     `newcomer_timeout` is how long a new owner may take to be reached: it learns of its
-    claim, opens a connection to each minion and answers each host, which took 0.1 s on
-    a fast machine and 0.4 s on one a fifth as fast.
+    claim, opens a connection to each minion and answers each host.
     `takeover_memory` is for how long takeovers count that double the timeout.
     `config_head_start` is how long the store may take to bring a configuration that
-    another host has already: 0.14 s for 930 routes on a link of 12.5 Mbit/s. It leaves
-    1.4 of the two seconds, in which a change must be in force, to fetch it instead.
+    another host has already, before it is fetched from that host.
     `config_part` is how long a part may take that another host was asked for, about a
     takeover.
     `config_hold` is for how long after its start a host keeps requests that come before
-    it knows a configuration; the store brings one within some 10 ms, or 0.2 s where it
-    is large and the link narrow.
+    it knows a configuration.
     `load_push` is how often other owners may be told of a change of free slots.
     `tick` is how often what time changes is looked at while a takeover is due, a pool
     is owned or a job is at work, and `calm_tick` otherwise.
     `vacancy_check` is how often a host looks for a vacancy that no event has told of.
-    `late` is from how much on this process says that it came to a timer late: half of
-    what lets an owner count as silent is spent then.
+    `late` is from how much lag on this process reports that its loop was late.
     `freeze` is after how long a suspension this process distrusts what it knows.
     """
 
--- a/src/brasstray/pool/dispatcher.py
+++ b/src/brasstray/pool/dispatcher.py
@@ -26,8 +26,7 @@
     from brasstray.pool.step_tasks import StepTasks
     from brasstray.pool.task_registry import TaskRegistry
 
-# How long a load that was worked out is told again: no longer than other pools wait
-# between two news of it.
+# How long a computed load is reused: no longer than other pools wait between reports.
 LOAD_AGE = timedelta(milliseconds=10)
 
 
@@ -116,8 +115,8 @@
             for minion in self._roster.minions
             if minion.free_cpu_millis >= smallest and minion.usable(now)
         ]
-        # Guards against sorting a long queue at every end while nothing can start:
-        # under overload that alone would keep the owner from reading the next end.
+        # Sorting a long queue at every end, while nothing can start, would saturate an
+        # overloaded owner.
         if not minions and not self._review_due:
             return
         waiting.sort(
--- a/src/brasstray/pool/durations.py
+++ b/src/brasstray/pool/durations.py
@@ -9,8 +9,7 @@
     from brasstray.job.ids import MinionId
     from brasstray.pool.step_tasks import StepTasks
 
-# The weight of one run in the averages: a minion's speed is known after some ten runs,
-# and one odd run moves it by a tenth.
+# Weight of one run in the moving averages.
 WEIGHT = 0.1
 # A run counts as at most this many times its estimate, so that one that stood still
 # does not make a minion or a queue look slow for long.
--- a/src/brasstray/pool/load_sharing.py
+++ b/src/brasstray/pool/load_sharing.py
@@ -24,9 +24,8 @@
     from brasstray.pool.task_registry import TaskRegistry
 
 _MILLISECOND = timedelta(milliseconds=1)
-# Room is told to others in places for tasks of usual size: the average of the last
-# twenty requests or so, and a little more, as a place too small for the next task is
-# worth less than none.
+# Free slots are of the usual size of a task, a moving average, and a little more: a
+# slot too small for the next task is worth less than none.
 TYPICAL_WEIGHT = 0.05
 TYPICAL_MARGIN = 1.1
 UNKNOWN_CPU = 1_000.0
@@ -77,7 +76,7 @@
                 self._fill_free_slots(step, loads)
             if step.waiting and self._misses_deadline(step, now + wait + expected):
                 self._reject(step, wait)
-            # Whoever comes after waits until this step's tasks are through.
+            # Later steps wait until the tasks of this one have ended.
             work = expected * len(step.waiting)
             wait += work * step.needs.cpu_millis / max(1, capacity)
 
@@ -190,8 +189,7 @@
         )
         if waiting:
             return PoolLoad(0, round(1_000 * waiting / max(1, self._held_cpu())))
-        # Before the first task nothing is known of their size: room is told of once
-        # somebody has asked for some.
+        # Before the first request nothing is known of the size of tasks.
         typical = round((self._typical_cpu or UNKNOWN_CPU) * TYPICAL_MARGIN)
         return PoolLoad(sum(m.free_cpu_millis // typical for m in usable), 0)
 
--- a/src/brasstray/pool/loop_lag.py
+++ b/src/brasstray/pool/loop_lag.py
@@ -4,11 +4,10 @@
 
 from datetime import timedelta
 
-# Of the lag, 64% is still allowed for a second later at 50 notes a second: a burst of
-# work comes again soon, and a calm process trusts its measure again within seconds.
+# The allowance decays over seconds, as bursts of work come in series.
 DECAY = 0.991
-# More would let four looks in a row outlast the lease of 800 ms by far, so that a dead
-# minion is found out late.
+# A larger allowance would let the probes in a row outlast a lease, so that the death of
+# a minion is detected late.
 LARGEST_ALLOWANCE = timedelta(milliseconds=150)
 
 
--- a/src/brasstray/pool/minion_health.py
+++ b/src/brasstray/pool/minion_health.py
@@ -9,12 +9,10 @@
 if TYPE_CHECKING:
     from brasstray.batch.ids import BatchId
 
-# Two jobs must fail in a row on a minion before it is suspected: one job alone may be
-# one that fails everywhere.
+# One job alone may be one that fails everywhere.
 JOBS_THAT_CONVICT = 2
 FIRST_SUSPENSION = timedelta(seconds=1)
-# A minion that has gone wrong stays so for seconds; beyond this a recovered one would
-# stand idle for longer than it was ill.
+# Upper bound of the backoff, so that a minion that has recovered is soon used again.
 LONGEST_SUSPENSION = timedelta(seconds=4)
 
 
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -46,8 +46,8 @@
     from brasstray.pool.step_tasks import StepTasks
     from brasstray.pool.timing import PoolTiming
 
-# How often waiting tasks are looked at for what time alone changes: a suspension that
-# ends, a job that has become hopeless.
+# Interval of what time alone changes: a suspension of a minion that ends, a job that
+# cannot meet its deadline any more.
 TIME_STEP = timedelta(milliseconds=20)
 
 
--- a/src/brasstray/pool/placement.py
+++ b/src/brasstray/pool/placement.py
@@ -14,11 +14,9 @@
     from brasstray.pool.pool_task import PoolTask
     from brasstray.pool.step_tasks import StepTasks
 
-# How much a minion that would be left with unusable room counts against one that is
-# faster: a whole empty minion weighs as much as a run 0.3 times longer.
+# Weight of the capacity left unused, against the expected duration of the run.
 FIT_WEIGHT = 0.3
-# A minion that is slow after its start gets a task only where no other has room. How
-# slow it is nobody says; a run on it counts as twice as long.
+# A cold minion gets a task only where no other has capacity. How slow it is is unknown.
 COLD_WEIGHT = 1.0
 
 
@@ -74,7 +72,7 @@
 
 def _may_run(task: PoolTask, minion: Minion, now: timedelta) -> bool:
     step, entry = task.of, minion.entry
-    # The cheapest question goes first: most minions of a busy pool have no room.
+    # The cheapest check goes first: most minions of a busy pool are full.
     if minion.free_cpu_millis < step.needs.cpu_millis:
         return False
     if entry.service != step.service or not step.needs.fits(minion.free_capacity):
--- a/src/brasstray/pool/run_judge.py
+++ b/src/brasstray/pool/run_judge.py
@@ -18,16 +18,14 @@
     from brasstray.pool.pool_task import PoolTask
     from brasstray.pool.run_record import RunRecord
 
-# A task that has failed on so many minions is at fault itself: with a tenth of them
-# bad, a sound one meets two bad ones in a row once in a hundred times.
+# A task that has failed on so many minions is at fault itself.
 MINIONS_THAT_ABSOLVE = 2
 
 
 # Below this a minion was silent for a few lost answers, and its runs go on.
 SILENCE_THAT_CONVICTS = timedelta(milliseconds=300)
-# If so many of a pool's minions are silent at once, it is the owner's own way to them
-# that was cut. They are back within LATEST_RETURN of one another then: each is asked
-# at least every 400 ms, eight at a time.
+# If so many of a pool's minions are silent at once, the owner's own link to them is the
+# likely cause. They return within LATEST_RETURN of one another then.
 SILENT_SHARE_THAT_ABSOLVES = 0.5
 LATEST_RETURN = timedelta(seconds=1)
 
@@ -51,8 +49,8 @@
         if task is None or record.state is not RunState.ACTIVE or not record.expected:
             return False
         if minion.is_cold(now):
-            # Slow as it said it would be: stopping its runs would waste their work, and
-            # whoever is suspected for it is missing when a data centre comes back cold.
+            # Slow as announced: stopping its runs would waste their work, and minions
+            # suspected for it would be missing when a data centre comes back cold.
             return False
         step, where = task.of, minion.entry.id
         siblings = step.pace_elsewhere(where)
--- a/src/brasstray/pool/run_tracker.py
+++ b/src/brasstray/pool/run_tracker.py
@@ -25,8 +25,8 @@
     from brasstray.pool.run_judge import RunJudge
     from brasstray.pool.task_registry import TaskRegistry
 
-# Runs of one task must be numbered upwards, also by an owner that knows nothing of
-# earlier ones: after a refusal for this reason it goes on this much higher.
+# Run numbers of a task must rise, also for an owner that does not know earlier ones:
+# after a refusal for a stale number it continues this much higher.
 RUN_NUMBER_LEAP = 1_000
 
 
@@ -74,8 +74,7 @@
         now = self._clock.monotonic()
         for record in list(minion.runs.values()):
             if self._judge.should_stop(minion, record, now):
-                # The task waits until the end is listed: two runs of it must never be
-                # at work at the same time.
+                # The task waits until the end is listed, so that it never runs twice.
                 self._stop(minion, record)
 
     def _see_active(self, minion: Minion, run: ActiveRun) -> None:
--- a/src/brasstray/pool/straggling.py
+++ b/src/brasstray/pool/straggling.py
@@ -8,16 +8,13 @@
 if TYPE_CHECKING:
     from brasstray.pool.run_record import RunRecord
 
-# Callers' estimates are off by a factor of about 1.5 either way (standard deviation of
-# the logarithm 0.4) and sound minions differ by 1.6. Four times what was expected is
-# beyond both together for all but a few runs in a thousand.
+# Beyond the error of estimates and the differences between sound minions together.
 SLOWEST_SOUND_RATIO = 4.0
-# Tasks of one step share the error of their estimate and differ by a sixth among
-# themselves, so against their pace elsewhere half of that will do.
+# Tasks of one step share the error of their estimate, so less suffices among them.
 SLOWEST_SOUND_TO_SIBLINGS = 2.2
 # Below this the start's own delay is most of what is seen.
 SHORTEST_EVIDENCE = timedelta(milliseconds=120)
-# Minions are looked at every 150 ms, so siblings have shown their pace by then.
+# Siblings have shown their pace by then.
 SIBLINGS_TIMEOUT = timedelta(milliseconds=350)
 # A restart must save this much: the run's remaining time against a whole new run.
 LEAST_GAIN = 1.2
--- a/src/brasstray/pool/task_registry.py
+++ b/src/brasstray/pool/task_registry.py
@@ -53,8 +53,8 @@
         if step is None:
             now = self._clock.monotonic()
             step = self._steps[key] = _step_of(requester, message, now)
-        # Guards against a job whose caller sent it again through another host while
-        # the first still lives: it stays one job, and the later host is answered.
+        # A caller may send a job again through another host while the first one lives:
+        # it stays one job, and the later host is answered.
         step.requester = requester
         return step
 
@@ -95,9 +95,8 @@
             done=(index,) if done else (),
             failed=() if done else (index,),
         )
-        # The requester can do nothing with one end while others of the step are still
-        # to come from here. Told with the last of them it saves two of three messages
-        # to whoever waits for a job of the usual width.
+        # The requester cannot act on one end while others of the step are due from
+        # here, so they share a message.
         if done and step.tasks:
             step.requester.tell_later(message)
         else:
