Make one piece of three copies in the stand-in minions, and mend what a bulk rename left

The stand-in system ended paused processes by one opening, which is not enough for a gate that counts. Two docstrings of enums had become those of functions; a private name and two locals kept the words before the rename.

--- a/src/brasstray/host/load_push.py
+++ b/src/brasstray/host/load_push.py
@@ -45,12 +45,12 @@
 
     def _tell_change(self) -> None:
         owner = self._owner()
-        places = 0 if owner is None else owner.load().free_slots
-        if places > self._told or (self._told and not places):
-            self._told = places
+        free = 0 if owner is None else owner.load().free_slots
+        if free > self._told or (self._told and not free):
+            self._told = free
             self._tell()
         else:
-            self._told = min(self._told, places)
+            self._told = min(self._told, free)
 
 
 __all__ = ["LoadPush"]
--- a/src/brasstray/host/owner_reach.py
+++ b/src/brasstray/host/owner_reach.py
@@ -6,7 +6,7 @@
 
 
 class OwnerReach(Enum):
-    """Return whether the listed owner of a pool is there.
+    """Tell whether the listed owner of a pool is there.
 
     EXPECTED: not reached since the store listed it. It may be slow to answer, or not
     have heard yet that its claim was written.
--- a/src/brasstray/host/pool_directory.py
+++ b/src/brasstray/host/pool_directory.py
@@ -209,8 +209,8 @@
         for pool, link in self._links.items():
             state = link.state
             if state is not None and pool != self._local_pool:
-                places = state.free_slots if state.ready else 0
-                left = places - self._taken.get(pool, 0)
+                free = state.free_slots if state.ready else 0
+                left = free - self._taken.get(pool, 0)
                 found[pool] = PoolLoad(max(0, left), state.wait_ms, max(0, -left))
         return found
 
--- a/src/brasstray/pool/minion.py
+++ b/src/brasstray/pool/minion.py
@@ -25,7 +25,7 @@
 
 
 class Reach(Enum):
-    """Return whether a minion is reachable for its owner.
+    """Tell whether a minion is reachable for its owner.
 
     UNPROBED: not yet fenced, so it still obeys orders of a previous owner.
     """
--- a/src/brasstray/pool/run_tracker.py
+++ b/src/brasstray/pool/run_tracker.py
@@ -53,7 +53,7 @@
         self._durations = durations
         self._clock = clock
         self._events = events
-        self._claims_over = claims_closed
+        self._claims_closed = claims_closed
         self._stop = stop
 
     def see(
@@ -108,7 +108,7 @@
         if task is not None and task.phase is not TaskPhase.PLACED:
             self._tasks.unqueue(task)
             minion.adopt(record, task)
-        elif self._claims_over():
+        elif self._claims_closed():
             self._stop(minion, record)
 
     def _end(self, minion: Minion, record: RunRecord, end: RunEnd) -> None:
--- a/src/brasstray_standins/leased_minions.py
+++ b/src/brasstray_standins/leased_minions.py
@@ -4,12 +4,13 @@
 
 from collections import Counter
 from datetime import timedelta
-from typing import TYPE_CHECKING, TypeVar
+from random import Random
+from typing import TYPE_CHECKING, NoReturn, TypeVar
 
 import anyio
 
 from brasstray.pool.errors import MinionSilentError
-from brasstray_standins.call_chaos import CallFate
+from brasstray_standins.call_chaos import CallChaos, CallFate
 from brasstray_standins.gate import Gate
 
 if TYPE_CHECKING:
@@ -23,7 +24,6 @@
     from brasstray.job.ids import MinionId
     from brasstray.pool.minion_entry import MinionEntry
     from brasstray.pool.probe_reply import ProbeReply
-    from brasstray_standins.call_chaos import CallChaos
     from brasstray_standins.leased_minion import LeasedMinion
 
     _T = TypeVar("_T")
@@ -39,8 +39,8 @@
     `lateness`, unanswered, and then has them carried out; `late_holds` holds back that
     many extensions of leases, whose time counts from when they arrive.
     `ignored_stops` counts stops that are answered and not carried out. Each call takes
-    `effort` of this caller's processor, one call after the other. `chaos`, if set,
-    holds back or loses any call at random.
+    `effort` of this caller's processor, one call after the other. `chaos` holds back or
+    loses any call at random.
     """
 
     def __init__(
@@ -58,7 +58,7 @@
         self.ignored_stops = 0
         self.lateness = timedelta(seconds=3)
         self.effort = timedelta(0)
-        self.chaos: CallChaos | None = None
+        self.chaos = CallChaos(Random(0), late=0.0, unanswered=0.0)
         self._processor = anyio.Lock()
         self._places = places
         self._clock = clock
@@ -87,9 +87,7 @@
                 until = place.clock_ms + ahead
                 return await place.hold(minion, token, 0, until, timedelta(0))
 
-            self._group.start_soon(self._act_late, minion, extend)
-            await self._clock.sleep(timeout)
-            raise MinionSilentError("held back")
+            await self._hold_back(minion, extend, timeout, self.lateness)
         return await self._call(minion, act, timeout)
 
     async def start(
@@ -110,18 +108,28 @@
 
         if self.late > 0:
             self.late -= 1
-            self._group.start_soon(self._act_late, minion, act)
-            await self._clock.sleep(timeout)
-            raise MinionSilentError("held back")
+            await self._hold_back(minion, act, timeout, self.lateness)
         return await self._call(minion, act, timeout)
 
+    async def _hold_back(
+        self,
+        minion: MinionEntry,
+        act: Callable[[LeasedMinion], Awaitable[object]],
+        timeout: timedelta,
+        lateness: timedelta,
+    ) -> NoReturn:
+        """Leave a call unanswered, and have it carried out after `lateness`."""
+        self._group.start_soon(self._act_late, minion, act, lateness)
+        await self._clock.sleep(timeout)
+        raise MinionSilentError("held back")
+
     async def _act_late(
         self,
         minion: MinionEntry,
         act: Callable[[LeasedMinion], Awaitable[object]],
-        lateness: timedelta | None = None,
+        lateness: timedelta,
     ) -> None:
-        await self._clock.sleep(self.lateness if lateness is None else lateness)
+        await self._clock.sleep(lateness)
         place = self._places[minion.id]
         if place.alive:
             try:
@@ -158,13 +166,10 @@
     ) -> _T:
         await self._gate.wait()
         self.calls[minion.id] += 1
-        fate = CallFate.ANSWERED if self.chaos is None else self.chaos.draw()
+        fate = self.chaos.draw()
         if fate is CallFate.LATE:
-            assert self.chaos is not None
             lateness = self.chaos.draw_lateness()
-            self._group.start_soon(self._act_late, minion, act, lateness)
-            await self._clock.sleep(timeout)
-            raise MinionSilentError("held back")
+            await self._hold_back(minion, act, timeout, lateness)
         with anyio.move_on_after(timeout.total_seconds()):
             if self.effort:
                 async with self._processor:
--- a/src/brasstray_standins/memory_system.py
+++ b/src/brasstray_standins/memory_system.py
@@ -182,7 +182,7 @@
     def end(self) -> None:
         """Let every stopped process go on, so that it can end."""
         for gate in self._gates.values():
-            gate.open()
+            gate.remove()
 
     def isolate(self, names: set[HostName]) -> None:
         """Cut `names` off from every other entry host."""
