End orphaned runs in time, however often their pool changes hands

What callers saw: a job submitted again 1.3 s after its connection broke ran beside its own orphaned runs, for 56 ms in the storm that showed it, for up to 1.4 s in forced orders.

Cause: a time that began anew with each owner. A new owner renewed the leases of runs that nobody had claimed, and counted from its own takeover until it stopped them.

Now a run ends within 1.24 s of the last contact between its coordinator and any owner. The age of the oldest contact goes with the heartbeats, counted from the one acknowledged; no lease is requested beyond it, whatever else runs on the minion; orphaned runs are stopped early enough for their neighbours' leases; a minion is renewed as soon as nothing limits it.

The checks of the resend model are replaced by stricter ones: it knew one owner and one successor, now any number, with lost stops and a claimed run beside the orphaned one. A longer requester silence or orphan timeout no longer breaks the bound, as leases are limited; six other changes of intervals and counting from each takeover are refuted.

--- a/spec/resend_timing.py
+++ b/spec/resend_timing.py
@@ -1,9 +1,11 @@
-"""Check that the runs of a job end in time after contact with its coordinator is lost.
+"""Check that orphaned runs end in time, however often their pool is taken over.
 
 A client retries a job `RESEND` after its connection broke or it received 502 or 504,
 and the retry may run anywhere. By then no run of the first attempt may be active.
-Meanwhile the pool's owner may die, and another may take over just before the leases
-expire. Time advances in ticks of 20 ms; the intervals are the defaults of the code.
+Meanwhile owners of the pool may die in a row, each after any tenure, and stops may get
+lost. On the same minion there is a run of a living coordinator, a neighbour, which must
+not be lost. Time advances in ticks of 20 ms; the intervals are the defaults of the
+code.
 """
 
 from __future__ import annotations
@@ -14,8 +16,7 @@
 
 from minicheck import Protocol
 
-from brasstray.coordinator.timing import CoordinatorTiming
-from brasstray.pool.timing import PoolTiming
+from brasstray.host.timing import HostTiming
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -28,28 +29,43 @@
 class Intervals:
     """Hold the intervals in ticks, each rounded towards the worse case.
 
-    `give_up_delay` is the time from the coordinator's last message to the owner until
-    the caller is informed that the job was given up.
+    `requester_silence` and `orphan_lifetime` count from the last contact with the
+    coordinator, `orphan_timeout` from a takeover. Without `orphan_lifetime`, owners
+    know nothing from before their own takeover. `lease_at_takeover` is left if an owner
+    dies just before a renewal and another takes over as planned. `give_up_delay` is the
+    time from the last contact until the caller is informed; 0 if the coordinator dies,
+    as its callers notice immediately.
     """
 
     requester_silence: int
     lease: int
+    lease_at_takeover: int
     orphan_timeout: int
+    orphan_lifetime: int | None
+    stop_lead: int
+    min_claim_time: int
     stop_time: int
     give_up_delay: int
     resend: int
 
 
-def configured_intervals() -> Intervals:
+def configured_intervals(*, coordinator_dies: bool) -> Intervals:
     """Return the default intervals of the code."""
-    pool, coordinator = PoolTiming(), CoordinatorTiming()
+    host = HostTiming()
+    pool, coordinator = host.pool, host.coordinator
+    takeover = host.vacancy_timeout + host.claim_jitter
     slow_clock_lease = pool.lease / (1 - pool.clock_rate_error)
+    give_up_delay = timedelta(0) if coordinator_dies else coordinator.lost_pool_timeout
     return Intervals(
         requester_silence=_ticks(pool.requester_silence),
         lease=_ticks(slow_clock_lease),
+        lease_at_takeover=(pool.lease - pool.hold_wait - takeover) // TICK,
         orphan_timeout=_ticks(pool.orphan_timeout + pool.recovery_timeout),
+        orphan_lifetime=_ticks(pool.orphan_lifetime),
+        stop_lead=pool.stop_lead // TICK,
+        min_claim_time=_ticks(pool.min_claim_time),
         stop_time=_ticks(pool.stop_time),
-        give_up_delay=coordinator.lost_pool_timeout // TICK,
+        give_up_delay=give_up_delay // TICK,
         resend=RESEND // TICK,
     )
 
@@ -59,74 +75,125 @@
 
 
 class State(NamedTuple):
-    """The ticks left until each event; None if it is not scheduled.
+    """The state of a pool, its minion and the two runs there.
 
-    `owner` is "first", "dead" or "second". `running` is false once the run has ended.
+    `owner` is "first", "none" or "later". `age` counts from the last contact with the
+    coordinator of the orphaned run. `tenure` counts from the last takeover. `stop_left`
+    is None if no stop is under way. `doomed` is set where the neighbour cannot be
+    expected to survive: a takeover came late, or a stop was lost.
     """
 
     owner: str
-    silence_left: int
+    age: int
+    tenure: int
     lease_left: int
-    orphan_left: int | None
     stop_left: int | None
-    resend_left: int
-    running: bool
+    claimed: bool
+    orphan: bool
+    neighbour: bool
+    doomed: bool
 
 
 def initial(intervals: Intervals) -> State:
     """Return the state when the owner receives the coordinator's last message."""
-    return State(
-        "first",
-        intervals.requester_silence,
-        intervals.lease,
-        None,
-        None,
-        intervals.give_up_delay + intervals.resend,
-        True,
-    )
+    return State("first", 0, 0, intervals.lease, None, True, True, True, False)
 
 
-def steps(s: State, intervals: Intervals) -> Iterator[tuple[str, State]]:
+def steps(
+    s: State, intervals: Intervals, *, stops_lost: bool
+) -> Iterator[tuple[str, State]]:
     """Yield the events possible now, and the passing of one tick."""
+    if s.age >= intervals.give_up_delay + intervals.resend or not s.orphan:
+        return
+    if s.owner != "none":
+        yield "the owner dies", s._replace(owner="none", claimed=False)
+    else:
+        doomed = s.doomed or s.lease_left < intervals.lease_at_takeover
+        taken = s._replace(owner="later", tenure=0, doomed=doomed)
+        yield "another takes over", taken
+    if s.owner == "later" and not s.claimed:
+        yield "the neighbour is claimed", s._replace(claimed=True)
+    if s.owner == "none" or s.claimed or s.tenure < intervals.min_claim_time:
+        yield "a tick passes", _tick(s, intervals, stop_lost=False)
+        if stops_lost and s.stop_left is None and _is_stop_due(s, intervals):
+            yield "a tick passes, a stop is lost", _tick(s, intervals, stop_lost=True)
+
+
+def _is_stop_due(s: State, intervals: Intervals) -> bool:
+    if s.owner == "none":
+        return False
+    lifetime = intervals.orphan_lifetime
+    aged = lifetime is not None and s.age >= lifetime - intervals.stop_lead
+    if s.owner == "first" and lifetime is None:
+        return s.age >= intervals.requester_silence
     if s.owner == "first":
-        # The owner may have renewed the lease immediately before it died.
-        dead = s._replace(owner="dead", lease_left=intervals.lease, stop_left=None)
-        yield "the owner dies", dead
-    if s.owner == "dead" and s.running:
-        taken_over = s._replace(owner="second", orphan_left=intervals.orphan_timeout)
-        yield "another takes over", taken_over
-    if s.resend_left > 0:
-        yield "a tick passes", _tick(s, intervals)
-
-
-def _tick(s: State, intervals: Intervals) -> State:
-    silence = max(0, s.silence_left - 1)
-    lease = intervals.lease if s.owner != "dead" else max(0, s.lease_left - 1)
-    orphan = None if s.orphan_left is None else max(0, s.orphan_left - 1)
+        # The runs of a host whose link closes after a silence continue until then.
+        return aged
+    waited = s.tenure >= intervals.orphan_timeout
+    return waited or (aged and s.tenure >= intervals.min_claim_time)
+
+
+def _tick(s: State, intervals: Intervals, *, stop_lost: bool) -> State:
     stop = None if s.stop_left is None else max(0, s.stop_left - 1)
-    must_stop = (s.owner == "first" and silence == 0) or (
-        s.owner == "second" and orphan == 0
-    )
-    if must_stop and stop is None:
+    if stop is None and not stop_lost and _is_stop_due(s, intervals):
         stop = intervals.stop_time
-    running = s.running and lease > 0 and stop != 0
-    return State(s.owner, silence, lease, orphan, stop, s.resend_left - 1, running)
+    lease = max(0, s.lease_left - 1)
+    if s.owner != "none":
+        lease = max(lease, _renewed_lease(s, intervals))
+    # A run that is being stopped ends at the end of its stop, not with its lease.
+    orphan = s.orphan and stop != 0 and (lease > 0 or stop is not None)
+    return State(
+        s.owner,
+        s.age + 1,
+        min(s.tenure + 1, intervals.orphan_timeout),
+        lease,
+        stop,
+        s.claimed,
+        orphan,
+        s.neighbour and lease > 0,
+        s.doomed or stop_lost or (s.owner == "none" and lease == 0),
+    )
+
+
+def _renewed_lease(s: State, intervals: Intervals) -> int:
+    """Return the longest lease that an owner requests while the orphan is there."""
+    lifetime = intervals.orphan_lifetime
+    if lifetime is None:
+        return intervals.lease
+    return min(intervals.lease, lifetime - s.age - 1)
 
 
 def ended_before_resend(s: dict) -> bool:
     """No run of the first attempt is active when the job is sent again."""
-    return s["resend_left"] > 0 or not s["running"]
+    return not s["orphan"] or s["age"] < s["resend_at"]
+
+
+def neighbour_survives(s: dict) -> bool:
+    """The run of the living coordinator is not lost if it could be saved."""
+    return s["neighbour"] or s["doomed"]
+
+
+def resend_model(intervals: Intervals, *, stops_lost: bool = True) -> Protocol:
+    """Return the timing model for `intervals`.
+
+    With `stops_lost`, any stop may get lost, and only leases end the run.
+    """
+    resend_at = intervals.give_up_delay + intervals.resend
 
+    def transitions(values: tuple) -> list[tuple[str, tuple]]:
+        successors = steps(State(*values[:-1]), intervals, stops_lost=stops_lost)
+        return [(label, (*after, resend_at)) for label, after in successors]
 
-def resend_model(intervals: Intervals) -> Protocol:
-    """Return the timing model for `intervals`."""
     return Protocol(
         name=str(intervals),
         candidate=False,
-        fields=State._fields,
-        initial=initial(intervals),
-        transitions=lambda values: list(steps(State(*values), intervals)),
-        invariants={"ended_before_resend": ended_before_resend},
+        fields=(*State._fields, "resend_at"),
+        initial=(*initial(intervals), resend_at),
+        transitions=transitions,
+        invariants={
+            "ended_before_resend": ended_before_resend,
+            "neighbour_survives": neighbour_survives,
+        },
     )
 
 
--- a/src/brasstray/host/event_log.py
+++ b/src/brasstray/host/event_log.py
@@ -153,6 +153,26 @@
             given_up=given_up,
         )
 
+    def orphans_stopped(self, pool: PoolId, runs: int, contact_age: timedelta) -> None:
+        """Record that a new owner stops the runs that no coordinator has claimed."""
+        self._metrics.count_reason("orphans_stopped")
+        log_message(
+            "brasstray:orphans_stopped",
+            pool=pool,
+            runs=runs,
+            contact_age_ms=contact_age // _MILLISECOND,
+        )
+
+    def renewal_withheld(self, minion: Minion, contact_age: timedelta) -> None:
+        """Record that the leases on a minion are not renewed, because of one run."""
+        self._metrics.count_reason("renewal_withheld")
+        log_message(
+            "brasstray:renewal_withheld",
+            minion=minion.entry.id,
+            runs=len(minion.runs),
+            contact_age_ms=contact_age // _MILLISECOND,
+        )
+
     def suspected(self, minion: Minion, reason: Evidence) -> None:
         """Record that a minion is suspected and gets no tasks for a while."""
         self._metrics.count_reason(f"suspected_{reason.value}")
@@ -282,10 +302,22 @@
             self._unavailable.discard(name)
             log_message("brasstray:store_back", what=name)
 
-    def pool_taken(self, pool: PoolId, token: FencingToken, reason: str) -> None:
+    def pool_taken(
+        self,
+        pool: PoolId,
+        token: FencingToken,
+        reason: str,
+        contact_age: timedelta | None,
+    ) -> None:
         """Record that this host owns a pool."""
         self._metrics.count_reason("pool_taken")
-        log_message("brasstray:pool_taken", pool=pool, token=token, reason=reason)
+        log_message(
+            "brasstray:pool_taken",
+            pool=pool,
+            token=token,
+            reason=reason,
+            contact_age_ms=None if contact_age is None else contact_age // _MILLISECOND,
+        )
 
     def pool_moving(self, pool: PoolId, to: HostName) -> None:
         """Record that a host with more power is asked to take the pool."""
--- a/src/brasstray/host/host_events.py
+++ b/src/brasstray/host/host_events.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
+    from datetime import timedelta
+
     from brasstray.batch.evacuation_set import EvacuationSet
     from brasstray.batch.ids import ConfigVersion, FencingToken, PoolId
     from brasstray.batch.outcome import GiveUpReason
@@ -53,8 +55,18 @@
     def store_back(self, name: str) -> None:
         """Record that the store answers requests for `name` again."""
 
-    def pool_taken(self, pool: PoolId, token: FencingToken, reason: str) -> None:
-        """Record that this host owns a pool."""
+    def pool_taken(
+        self,
+        pool: PoolId,
+        token: FencingToken,
+        reason: str,
+        contact_age: timedelta | None,
+    ) -> None:
+        """Record that this host owns a pool.
+
+        `contact_age` is the age of the oldest last contact between a previous owner and
+        the coordinator of a run, None if unknown.
+        """
 
     def pool_moving(self, pool: PoolId, to: HostName) -> None:
         """Record that a host with more power is asked to take the pool."""
--- a/src/brasstray/host/ownership.py
+++ b/src/brasstray/host/ownership.py
@@ -20,8 +20,13 @@
 from brasstray.host.owner_state import OwnerState
 from brasstray.host.store_follower import follow_store
 from brasstray.host.takeover_backoff import TakeoverBackoff
-from brasstray.store.errors import StoreConflictError, StoreUnavailableError
+from brasstray.store.errors import (
+    HistoryLostError,
+    StoreConflictError,
+    StoreUnavailableError,
+)
 from brasstray.store.store import ABSENT
+from brasstray.store.watchable_store import Changes, Snapshot
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -59,6 +64,7 @@
         events: HostEvents,
         on_acquired: Callable[[OwnedPool], None],
         on_lost: Callable[[str], None],
+        on_replaced_alive: Callable[[], None],
         succession: Succession,
         evacuations: Evacuations,
     ) -> None:
@@ -72,12 +78,14 @@
         self._events = events
         self._on_acquired = on_acquired
         self._on_lost = on_lost
+        self._on_replaced_alive = on_replaced_alive
         self._succession = succession
         self._evacuations = evacuations
         self._token_held = 0
         self._token_released = 0
         self._confirmed_at = timedelta(0)
         self._known = False
+        self._read_failed = False
         self._draining = False
         self._vacant_since: timedelta | None = None
         self._vacancy_timeout = timedelta(0)
@@ -123,19 +131,31 @@
 
     async def _read_store(self, as_of: int | None) -> int:
         """Read all entries, or the changes after `as_of`; return the version read."""
-        if as_of is None:
-            found = await self._store.snapshot(POOL_PREFIX)
-            self._apply_snapshot(found.entries)
-            return found.as_of
-        changes = await self._store.watch(
-            POOL_PREFIX, as_of, self._timing.pool_watch_timeout
-        )
+        read: Snapshot | Changes
+        try:
+            if as_of is None:
+                read = await self._store.snapshot(POOL_PREFIX)
+            else:
+                read = await self._store.watch(
+                    POOL_PREFIX, as_of, self._timing.pool_watch_timeout
+                )
+        except (StoreUnavailableError, HistoryLostError):
+            self._read_failed = True
+            raise
+        match read:
+            case Snapshot():
+                self._apply_snapshot(read.entries)
+            case Changes():
+                self._apply_changes(read)
+        self._read_failed = False
+        return read.as_of
+
+    def _apply_changes(self, changes: Changes) -> None:
         for entry in changes.written:
             self._apply_entry(entry)
         for key in changes.removed:
             self._apply_removal(key)
         self._record_confirmation()
-        return changes.as_of
 
     def _record_confirmation(self) -> None:
         if self._token_held:
@@ -156,6 +176,8 @@
         except ValueError as error:
             self._events.pool_claim_failed(pool, f"malformed store entry: {error}")
             return
+        if self._may_be_replaced_alive(pool, owned):
+            self._on_replaced_alive()
         self._directory.update_owner(pool, owned)
         if pool == self._pool:
             self._takeover_backoff.record_owner(owned.token, self._clock.monotonic())
@@ -166,6 +188,18 @@
                 # The claim was written, although the reply to it was lost.
                 self._acquire(owned)
 
+    def _may_be_replaced_alive(self, pool: PoolId, owned: OwnedPool) -> bool:
+        """Return whether `owned` replaces an owner that may still have sent state.
+
+        It reaches this host, or the replacement was learned late: it may have reported
+        on the pool after it was replaced.
+        """
+        known = self._directory.owned(pool)
+        if pool != self._pool or known is None or owned.token <= known.token:
+            return False
+        reaches = (OwnerState.UP, OwnerState.RESIGNING)
+        return self._read_failed or self._directory.owner_state(pool) in reaches
+
     def _apply_removal(self, key: str) -> None:
         self._directory.update_owner(pool_from_key(key), None)
         if key == pool_key(self._pool):
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -11,6 +11,7 @@
 from brasstray.batch.ids import NO_TOKEN, PoolId
 from brasstray.batch.outcome import BatchOutcome, BatchResult, GiveUpReason
 from brasstray.coordinator.coordinator import Coordinator, critical_path
+from brasstray.host.coordinator_contact import CoordinatorContact
 from brasstray.host.load_notifier import LoadNotifier
 from brasstray.host.local_requester import LocalRequester
 from brasstray.host.minion_feed import MinionFeed
@@ -91,6 +92,7 @@
             identity,
             dependencies.opener,
             clock,
+            dependencies.uptime,
             timing,
             events,
             self._operator_state,
@@ -102,6 +104,7 @@
             self._pool, self._directory, clock, timing.coordinator, events
         )
         self._succession = Succession(identity.host)
+        self._contact = CoordinatorContact(dependencies.uptime)
         self._ownership = Ownership(
             self._pool,
             identity,
@@ -113,13 +116,14 @@
             events,
             self._start_owner,
             self._stop_owner,
+            self._contact.reset,
             self._succession,
             self._evacuations,
         )
         self._owner: PoolOwner | None = None
         self._owner_scope: anyio.CancelScope | None = None
         self._local_requester = LocalRequester(
-            identity.host, partial(self.handle_pool_message, self._pool)
+            identity.host, partial(self.handle_pool_message, self._pool), clock
         )
         self._group: TaskGroup | None = None
         self._draining = False
@@ -299,6 +303,7 @@
         assert self._group is not None
         if self._owner is not None:
             self._stop_owner("superseded by a newer claim of this host")
+        contact_age = self._contact.age
         owner = self._owner = PoolOwner(
             self._pool,
             owned.token,
@@ -311,8 +316,9 @@
             lambda: self._ownership.confirm(owned),
             self._minion_feed.last_known_minions,
             lambda: self._evacuations.is_evacuated(self._pool),
+            contact_age,
         )
-        self._events.pool_taken(self._pool, owned.token, "claimed")
+        self._events.pool_taken(self._pool, owned.token, "claimed", contact_age)
         self._handover.start_tenure()
         self._owner_scope = anyio.CancelScope()
         self._group.start_soon(self._run_owner, owner, self._owner_scope)
@@ -374,6 +380,7 @@
             resigning=self._draining or self._handover.requested,
             config_version=self.config.version,
             evacuations=self._evacuations.current,
+            contact_age_ms=_ceil_ms(owner.contact_age) if owner else None,
         )
 
     # Messages to the owner of the local pool
@@ -391,9 +398,7 @@
             if self._owner is not None:
                 self._requesters.announce_successors()
         if reason != "silent":
-            # The host may reconnect and claim its tasks: its runs continue for as long
-            # as if it had only been silent.
-            await self._clock.sleep(self._timing.pool.requester_silence)
+            await self._clock.sleep(link.reconnect_time)
         self._events.requester_lost(link.name, reason)
         if self._owner is not None:
             self._owner.drop_requester(link)
@@ -408,6 +413,7 @@
                     self._requesters.announce_successors()
                 self._operator_state.handle_heartbeat(link.name, message, link.send)
             case Ping():
+                link.record_ping(message)
                 self._operator_state.handle_heartbeat(link.name, message, link.send)
             case ConfigWanted() | ConfigPart():
                 self._operator_state.handle_config_message(
@@ -439,6 +445,8 @@
                 self._coordinator.handle_tasks_returned(pool, message)
             case PoolState():
                 self._directory.reset_reserved_slots(pool)
+                if self._is_from_current_owner(message):
+                    self._contact.record_state(message)
                 if message.free_slots and self._owner is not None:
                     self._owner.review()
                 send = partial(self._directory.send, pool)
@@ -451,6 +459,14 @@
                 send = partial(self._directory.send, pool)
                 self._operator_state.handle_config_message(str(pool), message, send)
 
+    def _is_from_current_owner(self, state: PoolState) -> bool:
+        owned = self._directory.owned(self._pool)
+        return (
+            owned is not None
+            and state.pool == self._pool
+            and state.token >= owned.token
+        )
+
     def _is_active(self) -> bool:
         return self._owner is not None or self._coordinator.active_count > 0
 
@@ -464,7 +480,12 @@
         if self._owner is not None:
             self._ownership.release()
             self._stop_owner("process was suspended")
+        self._contact.reset()
         self._coordinator.end_all_jobs()
 
 
+def _ceil_ms(duration: timedelta) -> int:
+    return -(-duration // _MILLISECOND)
+
+
 __all__ = ["PoolHost"]
--- a/src/brasstray/host/pool_link.py
+++ b/src/brasstray/host/pool_link.py
@@ -33,6 +33,7 @@
     from brasstray.peer.pool_messages import PoolMessage
 
 
+_MILLISECOND = timedelta(milliseconds=1)
 # Bursts that forward tasks recur within seconds; an open link avoids reconnecting.
 IDLE_TIMEOUT = timedelta(seconds=3)
 # How long a request waits for a link that cannot be opened, about the duration of a
@@ -61,6 +62,7 @@
         identity: HostIdentity,
         opener: StreamOpener,
         clock: Clock,
+        uptime: Callable[[], timedelta],
         timing: HostTiming,
         events: HostEvents,
         operator_state: OperatorState,
@@ -75,6 +77,7 @@
         self._identity = identity
         self._opener = opener
         self._clock = clock
+        self._uptime = uptime
         self._timing = timing
         self._events = events
         self._operator_state = operator_state
@@ -183,6 +186,7 @@
                 config_version=self._operator_state.config.version,
                 evacuations=self._operator_state.evacuations.current,
                 power=self._identity.power,
+                sent_ms=self._uptime() // _MILLISECOND,
             )
         )
         requests = self.take_queued_requests()
@@ -256,6 +260,7 @@
                 Ping(
                     config_version=self._operator_state.config.version,
                     evacuations=self._operator_state.evacuations.current,
+                    sent_ms=self._uptime() // _MILLISECOND,
                 )
             )
 
--- a/src/brasstray/host/requester_link.py
+++ b/src/brasstray/host/requester_link.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+from datetime import timedelta
 from typing import TYPE_CHECKING
 
 import anyio
+from msgspec.structs import replace
 
 from brasstray.job.incarnation import data_centre_of
 from brasstray.peer.message_channel import MessageChannel
@@ -16,6 +18,7 @@
     from brasstray.host.timing import HostTiming
     from brasstray.job.ids import DataCentreName
     from brasstray.peer.message.hello import Hello
+    from brasstray.peer.message.ping import Ping
     from brasstray.peer.message.pool_state import PoolState
     from brasstray.peer.message_stream import MessageStream
     from brasstray.peer.pool_messages import PoolMessage
@@ -43,6 +46,8 @@
         self._data_centre: DataCentreName | None = None
         self._power = 0.0
         self._state_interval = timing.heartbeat_interval
+        self._last_contact = clock.monotonic()
+        self._heartbeat_ms: int | None = None
 
     @property
     def name(self) -> str:
@@ -59,12 +64,33 @@
         """Return the power of the host, or 0 before its hello."""
         return self._power
 
+    @property
+    def last_contact(self) -> timedelta:
+        """Return the monotonic time at which the host was last heard from."""
+        return self._last_contact
+
+    @property
+    def reconnect_time(self) -> timedelta:
+        """Return how long the runs of the host continue after the link has closed.
+
+        The host may reconnect and claim them, as if it had only been silent.
+        """
+        timing = self._timing.pool
+        silent = self._clock.monotonic() - self._last_contact
+        left = timing.orphan_lifetime - timing.stop_lead - silent
+        return max(timedelta(0), min(timing.requester_silence, left))
+
     def record_hello(self, hello: Hello) -> None:
         """Record the identity of the host at the other end."""
+        self._heartbeat_ms = hello.sent_ms
         self._name = str(hello.host)
         self._power = hello.power
         self._data_centre = data_centre_of(hello.incarnation)
 
+    def record_ping(self, ping: Ping) -> None:
+        """Record a heartbeat, which the next state sent to the host acknowledges."""
+        self._heartbeat_ms = ping.sent_ms
+
     def set_heartbeat_rate(self, frequent: bool) -> None:
         """Set whether heartbeats go out at the normal or at the slow interval."""
         self._state_interval = (
@@ -83,9 +109,10 @@
 
     def send_state(self) -> None:
         """Send which pool this host owns, and its load; this is the heartbeat."""
-        self._channel.send(self._state())
+        self._channel.send(replace(self._state(), acknowledged_ms=self._heartbeat_ms))
 
     def _handle_message(self, message: PoolMessage) -> None:
+        self._last_contact = self._clock.monotonic()
         self._on_message(self, message)
 
     async def run(self) -> str:
--- a/src/brasstray/peer/message/hello.py
+++ b/src/brasstray/peer/message/hello.py
@@ -12,6 +12,7 @@
     """Identify the connecting host, and report its configuration and evacuations.
 
     `power` is the share of a core that the host has, multiplied by the core's speed.
+    `sent_ms` is the sender's own clock, which counts suspensions.
     """
 
     host: HostName
@@ -19,6 +20,7 @@
     config_version: ConfigVersion
     evacuations: EvacuationSet = UNREAD_EVACUATIONS
     power: float = 1.0
+    sent_ms: int | None = None
 
 
 __all__ = ["Hello"]
--- a/src/brasstray/peer/message/pool_state.py
+++ b/src/brasstray/peer/message/pool_state.py
@@ -18,6 +18,10 @@
     tasks that could start now. `wait_ms` is how long a new task would wait. `ready` is
     false until the owner knows which tasks its minions run. `resigning` asks another
     host to take over the pool.
+
+    `contact_age_ms` is the age of the oldest last contact between the owner and the
+    coordinator of any run in the pool. It is counted from when this state was created,
+    so at the earliest from the heartbeat whose `sent_ms` is `acknowledged_ms`.
     """
 
     incarnation: IncarnationId
@@ -29,6 +33,8 @@
     resigning: bool = False
     config_version: ConfigVersion
     evacuations: EvacuationSet = UNREAD_EVACUATIONS
+    contact_age_ms: int | None = None
+    acknowledged_ms: int | None = None
 
 
 __all__ = ["PoolState"]
--- a/src/brasstray/pool/lease_clock.py
+++ b/src/brasstray/pool/lease_clock.py
@@ -69,14 +69,18 @@
         """
         return now < self._extendable_until
 
-    def next_lease_until(self, now: timedelta) -> int:
+    def next_lease_until(self, now: timedelta, limit: timedelta | None = None) -> int:
         """Return the end of the lease to request at `now`, on the minion's clock.
 
-        The lease is recorded as one that may be granted.
+        The lease ends by `limit`, also if the minion's clock is slow. It is recorded as
+        one that may be granted.
         """
         assert self._clock_ms is not None
-        offset = (now - self._clock_read_at + self._timing.lease) // _MILLISECOND
-        until = self._clock_ms + offset
+        length = now - self._clock_read_at + self._timing.lease
+        if limit is not None:
+            slowest = 1 - self._timing.clock_rate_error
+            length = min(length, (limit - self._clock_read_at) * slowest)
+        until = self._clock_ms + length // _MILLISECOND
         self._latest_until_ms = max(self._latest_until_ms, until)
         self._lease_requested = True
         return until
--- a/src/brasstray/pool/minion.py
+++ b/src/brasstray/pool/minion.py
@@ -124,6 +124,11 @@
         task.last_run = max(task.last_run, record.run)
         task.parent_step.begun = True
 
+    @property
+    def oldest_contact(self) -> timedelta:
+        """Return the earliest last contact with the coordinator of any run here."""
+        return min(record.last_contact for record in self.runs.values())
+
     def has_ended(self, name: TaskName, run: RunNumber) -> bool:
         """Return whether the end of a run on this minion has been recorded."""
         return (name, run) in self._ended_runs
--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -15,6 +15,7 @@
 )
 from brasstray.pool.lease_clock import MAX_EFFECT_DELAY, LeaseClock
 from brasstray.pool.minion import Reachability
+from brasstray.pool.renewal_limit import RenewalLimit
 from brasstray.pool.run_record import RunState
 
 if TYPE_CHECKING:
@@ -76,6 +77,8 @@
         self._unanswered_at: timedelta | None = None
         self._silent_since = timedelta(0)
         self._newest_clock_ms = 0
+        self._was_limited = False
+        self._renewal_limit = RenewalLimit(minion, timing, owner.events)
         self._answer_count = 0
         self._unresolved_starts: dict[tuple[TaskName, RunNumber], timedelta] = {}
 
@@ -229,7 +232,11 @@
         None means that a later probe was answered before this one.
         """
         sent = self._clock.monotonic()
-        until = self._lease.next_lease_until(sent) if lease else None
+        until = None
+        if lease:
+            self._was_limited = self._renewal_limit.is_binding(sent)
+            if self._renewal_limit.may_renew(sent):
+                until = self._lease.next_lease_until(sent, self._renewal_limit.until)
         try:
             reply = await self._calls.probe(
                 self._minion.entry,
@@ -240,7 +247,7 @@
                 wait + self._timing.probe_timeout + self._lag.allowance,
             )
         except MinionNoResponseError:
-            if lease:
+            if until is not None:
                 self._lease.record_unanswered(sent)
             raise
         self._answer_count += 1
@@ -259,8 +266,27 @@
         self._owner.apply_report(
             self._minion, () if out_of_order else reply.active, new_ends
         )
+        if not lease:
+            self.renew_if_unlimited()
         return None if out_of_order else {(run.task, run.run) for run in reply.active}
 
+    def renew_if_unlimited(self) -> None:
+        """Renew the leases now if the last renewal was limited and none is any more.
+
+        This owner may die before the next renewal is due.
+        """
+        now = self._clock.monotonic()
+        if self._was_limited and not self._renewal_limit.is_binding(now):
+            self._was_limited = False
+            self._group.start_soon(self._renew)
+
+    async def _renew(self) -> None:
+        try:
+            await self._probe(lease=True, wait=_NO_WAIT)
+        except (MinionNoResponseError, MinionGoneError, FencedError):
+            # The session's own probes meet the same error.
+            return
+
     def start(self, record: RunRecord, spec: str) -> None:
         """Send the start of `record`, which already counts against the capacity."""
         self._group.start_soon(self._start, record, spec)
@@ -279,7 +305,7 @@
 
     async def _start(self, record: RunRecord, spec: str) -> None:
         sent = self._clock.monotonic()
-        until = self._lease.next_lease_until(sent)
+        until = self._lease.next_lease_until(sent, self._renewal_limit.until)
         try:
             minion_clock_ms = await self._calls.start(
                 self._minion.entry,
@@ -334,13 +360,17 @@
 
     async def _stop(self, record: RunRecord) -> None:
         key = (record.name, record.run)
+        # Other leases may depend on the end of an orphaned run, so a stop that got lost
+        # is repeated immediately once.
+        backoff = _NO_WAIT if record.task is None else self._timing.probe_backoff
         while key in self._minion.runs and self._minion.reach is not Reachability.GONE:
             try:
                 await self._call_stop(*key)
                 self._unresolved_starts.pop(key, None)
                 await self._await_end(record)
             except MinionNoResponseError:
-                await self._clock.sleep(self._timing.probe_backoff)
+                await self._clock.sleep(backoff)
+                backoff = self._timing.probe_backoff
             except (MinionGoneError, FencedError):
                 return
 
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -9,6 +9,7 @@
 
 from brasstray.batch.ids import RunNumber
 from brasstray.batch.task_name import TaskName
+from brasstray.pool.contact_bound import ContactBound
 from brasstray.pool.dispatcher import Dispatcher
 from brasstray.pool.durations import Durations
 from brasstray.pool.health_monitor import HealthMonitor
@@ -70,6 +71,7 @@
         confirm_ownership: Callable[[], Awaitable[bool]],
         inherited: Iterable[MinionEntry] | None,
         evacuated: Callable[[], bool] = lambda: False,
+        contact_age: timedelta | None = None,
     ) -> None:
         self._pool = pool
         self._token = token
@@ -83,6 +85,14 @@
         self._roster = Roster(clock, timing, self._open_session, self._forget_minion)
         self._health_monitor = HealthMonitor(lambda: self.minions, events)
         self._tasks = TaskRegistry(clock, events)
+        self._contact = ContactBound(
+            contact_age,
+            self._roster,
+            self._tasks,
+            clock,
+            timing,
+            lambda: self._recovery.minions_recovered,
+        )
         self._recovery = Recovery(
             pool,
             self._tasks,
@@ -90,6 +100,7 @@
             clock,
             timing,
             events,
+            self._contact.inherited,
             minions_known=inherited is not None,
         )
         self._runs = RunTracker(
@@ -100,6 +111,7 @@
             events,
             lambda: self._recovery.claims_closed,
             lambda minion, record: self._roster.session(minion.entry.id).stop(record),
+            self._contact.inherited,
         )
         self._sharing = LoadSharing(
             self._tasks,
@@ -150,6 +162,11 @@
         """Return whether a minion has seen a higher token."""
         return self._deposed.is_set()
 
+    @property
+    def contact_age(self) -> timedelta:
+        """Return the age of the oldest last contact with the coordinator of a run."""
+        return self._clock.monotonic() - self._contact.oldest
+
     @property
     def minions(self) -> list[Minion]:
         """Return the known minions."""
@@ -227,6 +244,9 @@
         step = self._tasks.get_or_add(requester, message)
         for index in message.indices:
             self._accept_task(step, index, claimed=message.claimed)
+        if message.claimed:
+            for session in self._roster.sessions:
+                session.renew_if_unlimited()
         self._sharing.observe_demand(step.needs)
         self._tasks.forget_if_empty(step)
         self.review()
@@ -287,7 +307,7 @@
         for session in self._roster.sessions:
             for record in list(session.minion.runs.values()):
                 if record.task is not None and record.task.parent_step is step:
-                    record.task = None
+                    record.abandon()
                     session.stop(record)
 
     # Dispatch
--- a/src/brasstray/pool/owner_events.py
+++ b/src/brasstray/pool/owner_events.py
@@ -59,6 +59,19 @@
         outcome.
         """
 
+    def orphans_stopped(self, pool: PoolId, runs: int, contact_age: timedelta) -> None:
+        """The runs that no coordinator has claimed are stopped after a takeover.
+
+        `contact_age` is the age of the last contact between their coordinators and a
+        previous owner, at most.
+        """
+
+    def renewal_withheld(self, minion: Minion, contact_age: timedelta) -> None:
+        """The leases on a minion are not renewed, because of one run there.
+
+        Its coordinator was last heard `contact_age` ago, or has cancelled it then.
+        """
+
     def suspected(self, minion: Minion, reason: Evidence) -> None:
         """A minion was suspended and gets no tasks for a while."""
 
--- a/src/brasstray/pool/recovery.py
+++ b/src/brasstray/pool/recovery.py
@@ -25,8 +25,9 @@
 class Recovery:
     """Find the runs of the previous owner, within the recovery timeout.
 
-    `minions_known` is whether the previous owner has reported its minions. No task may
-    start before the recovery is over, as it might already be running.
+    `minions_known` is whether the previous owner has reported its minions, and
+    `last_contact` when it was last in contact with the coordinators of all runs. No
+    task may start before the recovery is over, as it might already be running.
     """
 
     def __init__(
@@ -37,6 +38,7 @@
         clock: Clock,
         timing: PoolTiming,
         events: OwnerEvents,
+        last_contact: timedelta,
         *,
         minions_known: bool,
     ) -> None:
@@ -46,6 +48,7 @@
         self._clock = clock
         self._timing = timing
         self._events = events
+        self._last_contact = last_contact
         self._minions_known = minions_known
         self._listed = anyio.Event()
         self._recovered = anyio.Event()
@@ -56,6 +59,11 @@
         """Return whether the recovery is over."""
         return self._recovered.is_set()
 
+    @property
+    def minions_recovered(self) -> bool:
+        """Return whether the previous owner's minions are known and recovered."""
+        return self.recovered and self._minions_known
+
     @property
     def claims_closed(self) -> bool:
         """Return whether an orphaned run that is found now is stopped at once."""
@@ -82,14 +90,26 @@
         Their caller may send the job again to another data centre, where the same tasks
         would run beside them.
         """
-        with anyio.move_on_after(self._timing.recovery_timeout.total_seconds()):
-            await self._recovered.wait()
-        await self._clock.sleep(self._timing.orphan_timeout)
+        timing = self._timing
+        now = self._clock.monotonic()
+        expiry = self._last_contact + timing.orphan_lifetime - timing.stop_lead
+        left = max(timing.min_claim_time, expiry - now)
+        with anyio.move_on_after(left.total_seconds()):
+            with anyio.move_on_after(timing.recovery_timeout.total_seconds()):
+                await self._recovered.wait()
+            await self._clock.sleep(timing.orphan_timeout)
         self._claims_closed = True
-        for session in self._roster.sessions:
-            for record in list(session.minion.runs.values()):
-                if record.task is None:
-                    session.stop(record)
+        orphans = [
+            (session, record)
+            for session in self._roster.sessions
+            for record in session.minion.runs.values()
+            if record.task is None
+        ]
+        if orphans:
+            contact_age = self._clock.monotonic() - self._last_contact
+            self._events.orphans_stopped(self._pool, len(orphans), contact_age)
+        for session, record in orphans:
+            session.stop(record)
 
     def resolve_claim(self, task: PoolTask) -> bool:
         """Queue a claimed task that is known to run nowhere; return whether it was.
--- a/src/brasstray/pool/requester.py
+++ b/src/brasstray/pool/requester.py
@@ -5,12 +5,18 @@
 from typing import TYPE_CHECKING, Protocol
 
 if TYPE_CHECKING:
+    from datetime import timedelta
+
     from brasstray.peer.pool_messages import PoolMessage
 
 
 class Requester(Protocol):
     """Receive messages about the tasks that it asked for; never blocks."""
 
+    @property
+    def last_contact(self) -> timedelta:
+        """Return the monotonic time at which the requester was last heard from."""
+
     def send(self, message: PoolMessage) -> None:
         """Send `message`, in order; drop it if the requester is unreachable."""
 
--- a/src/brasstray/pool/run_record.py
+++ b/src/brasstray/pool/run_record.py
@@ -3,12 +3,11 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from datetime import timedelta
 from enum import Enum
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from datetime import timedelta
-
     from brasstray.batch.ids import RunNumber
     from brasstray.batch.resources import Resources
     from brasstray.batch.task_name import TaskName
@@ -34,7 +33,8 @@
     `task` is None for a run of a previous owner that has not been claimed yet, and for
     one that is no longer wanted. `size_known` is false for a run of a previous owner
     until it is claimed, as only its requester knows what it uses. `cold` marks a run
-    that began while its minion was warming up.
+    that began while its minion was warming up. `orphan_contact` is the last contact
+    with the coordinator of a run without a task, or an earlier time.
     """
 
     name: TaskName
@@ -47,6 +47,19 @@
     percent: int = 0
     size_known: bool = True
     cold: bool = False
+    orphan_contact: timedelta = timedelta(0)
+
+    @property
+    def last_contact(self) -> timedelta:
+        """Return when the run's coordinator was last heard, or an earlier time."""
+        if self.task is None:
+            return self.orphan_contact
+        return self.task.parent_step.requester.last_contact
+
+    def abandon(self) -> None:
+        """Record that the task of the run is no longer wanted."""
+        self.orphan_contact = self.last_contact
+        self.task = None
 
 
 __all__ = ["RunRecord", "RunState"]
--- a/src/brasstray/pool/run_tracker.py
+++ b/src/brasstray/pool/run_tracker.py
@@ -35,7 +35,8 @@
 
     A task whose run has ended without a result is queued for another start.
     `claims_closed` returns whether orphaned runs are to be stopped, and `stop` stops a
-    run.
+    run. `inherited_contact` is the earliest last contact with the coordinator of a run
+    that this owner finds.
     """
 
     def __init__(
@@ -47,12 +48,14 @@
         events: OwnerEvents,
         claims_closed: Callable[[], bool],
         stop: Callable[[Minion, RunRecord], None],
+        inherited_contact: timedelta = timedelta(0),
     ) -> None:
         self._tasks = tasks
         self._health_monitor = monitor
         self._durations = durations
         self._clock = clock
         self._events = events
+        self._inherited_contact = inherited_contact
         self._claims_closed = claims_closed
         self._stop = stop
 
@@ -103,6 +106,7 @@
             RunState.ACTIVE,
             None,
             size_known=False,
+            orphan_contact=self._inherited_contact,
         )
         minion.add(record)
         task = self._tasks.find(run.task)
--- a/src/brasstray/pool/timing.py
+++ b/src/brasstray/pool/timing.py
@@ -29,7 +29,15 @@
     - `recovery_timeout`: how long a new owner waits for unreachable minions.
     - `probe_backoff`: the first pause between probes of an unreachable minion.
     - `stop_time`: the platform's limit on the duration of a stop, plus a margin.
-    - `orphan_timeout`: how long orphaned runs continue after the recovery.
+    - `orphan_timeout`: how long orphaned runs continue after the recovery, unless
+      `orphan_lifetime` is over sooner.
+    - `orphan_lifetime`: how long a run may be active after the last contact with its
+      coordinator, whichever hosts own the pool meanwhile. A caller may submit the job
+      to another data centre 1.3 s after its connection broke.
+    - `stop_lead`: how long before the end of `orphan_lifetime` an orphaned run is
+      stopped, so that the other leases on its minion can be renewed after its end.
+    - `min_claim_time`: how long requesters have at least to claim runs from a new
+      owner.
     - `requester_silence`: the silence after which a requester's tasks are stopped.
     - `list_interval`: how often the list of minions is read; a draining minion must get
       nothing new within 2 s.
@@ -50,6 +58,9 @@
     probe_backoff: timedelta = _ms(100)
     stop_time: timedelta = _ms(60)
     orphan_timeout: timedelta = _ms(400)
+    orphan_lifetime: timedelta = _ms(1_240)
+    stop_lead: timedelta = _ms(200)
+    min_claim_time: timedelta = _ms(150)
     requester_silence: timedelta = _ms(600)
     list_interval: timedelta = _ms(500)
     missing_grace: timedelta = _ms(3_000)
--- a/tests/host/test_pool_failures.py
+++ b/tests/host/test_pool_failures.py
@@ -660,6 +660,8 @@
     """Request one task of a job from owners, and record their messages."""
 
     name = "asking"
+    # Later than any time in a test: the requester is never silent.
+    last_contact = timedelta(days=1)
 
     def __init__(self, job):
         self._job = job
--- a/tests/pool/takeover.py
+++ b/tests/pool/takeover.py
@@ -51,6 +51,9 @@
 
     name = "requester"
 
+    # Later than any time in a test: the requester is never silent.
+    last_contact = timedelta(days=1)
+
     def __init__(self):
         self.messages = []
 
@@ -147,6 +150,7 @@
             NullObject(),
             confirm_ownership,
             self.entries,
+            contact_age=timedelta(0),
         )
         scope = anyio.CancelScope()
 
--- a/tests/pool/test_lease_clock.py
+++ b/tests/pool/test_lease_clock.py
@@ -60,3 +60,14 @@
 @pytest.mark.parametrize("now", [0, 2_000, 20_000])
 def test_no_lease_expires_on_a_minion_that_has_never_answered(now):
     assert LeaseClock(PoolTiming()).time_to_expiry(ms(now)) > ms(0)
+
+
+@pytest.mark.parametrize(
+    ("limit", "until"),
+    [(None, 6_200), (ms(2_000), 6_200), (ms(802), 5_792), (ms(402), 5_400)],
+)
+def test_lease_ends_by_its_limit_on_the_slowest_clock(limit, until):
+    """A limited lease is over in time also if the minion's clock is 2% slow."""
+    lease = LeaseClock(PoolTiming())
+    lease.record_clock(5_400, ms(400), ms(402))
+    assert lease.next_lease_until(ms(402), limit) == until
--- a/tests/spec/test_pool_protocol.py
+++ b/tests/spec/test_pool_protocol.py
@@ -43,24 +43,39 @@
     assert set(BROKEN) == set(PoolVariant) - {PoolVariant.AS_DESIGNED}
 
 
-def holds(intervals):
-    result = check_safety(resend_model(intervals), MAX_STATES)
+def check(intervals, *, stops_lost=True):
+    result = check_safety(resend_model(intervals, stops_lost=stops_lost), MAX_STATES)
     assert result["exhaustive"]
-    return result["properties"]["ended_before_resend"]["holds"]
+    return {name: found["holds"] for name, found in result["properties"].items()}
 
 
-def test_runs_end_before_the_client_retries():
-    assert holds(configured_intervals())
+@pytest.mark.parametrize("coordinator_dies", [True, False])
+def test_runs_end_before_the_client_retries(coordinator_dies):
+    """An orphaned run ends in time and takes no other run along, in any takeovers."""
+    intervals = configured_intervals(coordinator_dies=coordinator_dies)
+    held = check(intervals)
+    assert held == {"ended_before_resend": True, "neighbour_survives": True}
+
+
+@pytest.mark.parametrize("coordinator_dies", [True, False])
+def test_counting_from_each_takeover_violates_the_bound(coordinator_dies):
+    """A time that begins anew with each owner lets orphaned runs meet their resend."""
+    intervals = configured_intervals(coordinator_dies=coordinator_dies)
+    held = check(replace(intervals, orphan_lifetime=None), stops_lost=False)
+    assert held["ended_before_resend"] is False
 
 
 @pytest.mark.parametrize(
-    "change",
+    ("change", "broken"),
     [
-        {"requester_silence": 60},
-        {"lease": 70},
-        {"orphan_timeout": 60},
-        {"give_up_delay": 0},
+        ({"orphan_lifetime": 63}, "ended_before_resend"),
+        ({"stop_time": 4}, "ended_before_resend"),
+        ({"resend": 64}, "ended_before_resend"),
+        ({"stop_lead": 3}, "neighbour_survives"),
+        ({"min_claim_time": 30}, "neighbour_survives"),
+        ({"lease_at_takeover": 8}, "neighbour_survives"),
     ],
 )
-def test_changed_interval_violates_the_bound(change):
-    assert not holds(replace(configured_intervals(), **change))
+def test_changed_interval_violates_the_bound(change, broken):
+    intervals = configured_intervals(coordinator_dies=True)
+    assert check(replace(intervals, **change))[broken] is False
