Keep every unanswered call that may still extend a lease

An owner kept the time of one unanswered renewal or start and overwrote it with the next. A reply to a call sent between the two then told nothing, and the leases counted as over for certain while the earlier call could still be carried out: the task might start elsewhere. Found by reading. The test failed for such a reply before; the other case held.

--- a/src/brasstray/pool/lease_clock.py
+++ b/src/brasstray/pool/lease_clock.py
@@ -29,7 +29,7 @@
         self._clock_read_at = timedelta()
         self._latest_until_ms = 0
         self._lease_requested = False
-        self._unanswered_at: timedelta | None = None
+        self._unanswered: list[timedelta] = []
         self._extendable_until = timedelta()
 
     @property
@@ -51,15 +51,17 @@
             )
         self._clock_ms = clock_ms
         self._clock_read_at = received
-        if self._unanswered_at is not None and sent > self._unanswered_at:
-            # The minion answered a later call, so this call or its response was lost or
-            # delayed. A dead minion answers no later call.
-            self._extendable_until = self._unanswered_at + MAX_EFFECT_DELAY
-            self._unanswered_at = None
+        earlier = [at for at in self._unanswered if at < sent]
+        if earlier:
+            # The minion answered a later call, so these calls or their responses were
+            # lost or delayed. A dead minion answers no later call.
+            latest_effect = max(earlier) + MAX_EFFECT_DELAY
+            self._extendable_until = max(self._extendable_until, latest_effect)
+            self._unanswered = [at for at in self._unanswered if at >= sent]
 
     def record_unanswered(self, sent: timedelta) -> None:
         """Record an unanswered call, sent at `sent`, that may renew leases."""
-        self._unanswered_at = sent
+        self._unanswered.append(sent)
 
     def may_be_extended(self, now: timedelta) -> bool:
         """Return whether a delayed call may still extend leases at `now`.
--- a/tests/pool/test_lease_clock.py
+++ b/tests/pool/test_lease_clock.py
@@ -37,6 +37,27 @@
     assert lease.may_be_extended(ms(now)) is may_be_extended
 
 
+@pytest.mark.parametrize(
+    ("answered", "until"),
+    [
+        # The later of two unanswered calls does not hide the earlier one.
+        ((150, 400), 100),
+        # A reply to a call that was sent after both concerns both.
+        ((350, 400), 300),
+    ],
+)
+def test_each_unanswered_call_may_extend_a_lease(answered, until):
+    """Runs do not count as ended while any unanswered call may extend their lease."""
+    lease = LeaseClock(PoolTiming())
+    lease.record_clock(5_000, ms(0), ms(2))
+    lease.record_unanswered(ms(100))
+    lease.record_unanswered(ms(300))
+    lease.record_clock(5_100, *map(ms, answered))
+    end = ms(until) + MAX_EFFECT_DELAY
+    assert lease.may_be_extended(end - ms(1))
+    assert not lease.may_be_extended(end)
+
+
 @pytest.mark.parametrize(("now", "left"), [(402, 816.3), (802, 416.3), (2_400, 0)])
 def test_expiry_assumes_the_slowest_clock(now, left):
     lease = LeaseClock(PoolTiming())
