File what is learned about a minion under its incarnation

A restarted minion may keep its id on newer platforms, so the id alone no longer tells two incarnations apart.

--- a/src/brasstray/job/ids.py
+++ b/src/brasstray/job/ids.py
@@ -10,6 +10,7 @@
 IncarnationId = NewType("IncarnationId", str)
 KeyText = NewType("KeyText", str)
 MinionId = NewType("MinionId", str)
+MinionKey = NewType("MinionKey", str)
 PeriodName = NewType("PeriodName", str)
 ServiceName = NewType("ServiceName", str)
 
@@ -20,6 +21,7 @@
     "IncarnationId",
     "KeyText",
     "MinionId",
+    "MinionKey",
     "PeriodName",
     "ServiceName",
 ]
--- a/src/brasstray/pool/dispatcher.py
+++ b/src/brasstray/pool/dispatcher.py
@@ -148,7 +148,7 @@
         step, entry = task.parent_step, minion.entry
         task.phase = TaskPhase.PLACED
         task.last_run = RunNumber(task.last_run + 1)
-        expected = self._durations.expected(step, entry.id, entry.labels)
+        expected = self._durations.expected(step, entry.key, entry.labels)
         record = RunRecord(
             task.name,
             task.last_run,
--- a/src/brasstray/pool/health_monitor.py
+++ b/src/brasstray/pool/health_monitor.py
@@ -53,9 +53,9 @@
             # their work, and minions suspended for it would be missing when a data
             # centre comes back cold.
             return False
-        step, minion_id = task.parent_step, minion.entry.id
-        siblings = step.best_slowdown_elsewhere(minion_id)
-        step.slowdowns[minion_id] = slowdown(record, now)
+        step, minion_key = task.parent_step, minion.entry.key
+        siblings = step.best_slowdown_elsewhere(minion_key)
+        step.slowdowns[minion_key] = slowdown(record, now)
         if siblings is None and self._awaiting_siblings(record, now):
             return False
         # A task is restarted as a straggler only once: if it is as slow elsewhere, it
@@ -63,7 +63,7 @@
         if task.straggled or not is_straggler(record, now, siblings):
             return False
         task.straggled = True
-        task.avoided.add(minion_id)
+        task.avoided.add(minion_key)
         if not minion.health.suspected:
             minion.health.suspend(now)
             self._events.suspected(minion, Evidence.STRAGGLING)
@@ -88,7 +88,7 @@
         if minion.health.record_failure(task.name.batch, now):
             self._events.suspected(minion, Evidence.FAILURES)
         task.failures += 1
-        task.avoided.add(minion.entry.id)
+        task.avoided.add(minion.entry.key)
 
     def record_unhealthy(self, minion: Minion, now: timedelta) -> None:
         """Record that `minion` reports that it cannot run tasks."""
@@ -118,7 +118,7 @@
 
     def record_failed_everywhere(self, task: PoolTask) -> None:
         """Discard the failures of a task that failed for good on several minions."""
-        failed_on = [m for m in self._minions() if m.entry.id in task.avoided]
+        failed_on = [m for m in self._minions() if m.entry.key in task.avoided]
         if len(failed_on) < FAILED_MINIONS_TO_BLAME_TASK:
             return
         for minion in failed_on:
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -220,7 +220,7 @@
 
     def _forget_minion(self, minion: Minion) -> None:
         self.end_runs_on(minion, gone=True)
-        self._durations.forget(minion.entry.id)
+        self._durations.forget(minion.entry.key)
 
     async def _recover(self) -> None:
         await self._recovery.recover()
--- a/src/brasstray/pool/placement.py
+++ b/src/brasstray/pool/placement.py
@@ -60,9 +60,9 @@
         entry = minion.entry
         cpu_left = minion.free_cpu_millis - step.needs.cpu_millis
         unused = cpu_left / max(1, entry.capacity.cpu_millis)
-        ratio = durations.ratio(step, entry.id, entry.labels)
+        ratio = durations.ratio(step, entry.key, entry.labels)
         cost = ratio + FIT_WEIGHT * unused
-        if entry.id in task.avoided:
+        if entry.key in task.avoided:
             cost += 1.0
         if minion.is_cold(now):
             cost += COLD_PENALTY
--- a/src/brasstray/pool/pool_load.py
+++ b/src/brasstray/pool/pool_load.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from datetime import timedelta
 
 
 @dataclass(frozen=True)
@@ -17,5 +18,10 @@
     wait_ms: int = 0
     excess: int = 0
 
+    def wait(self, priority: int) -> timedelta:
+        """Return how long a new task of `priority` would wait; 0 goes first."""
+        del priority
+        return timedelta(milliseconds=self.wait_ms)
+
 
 __all__ = ["PoolLoad"]
--- a/src/brasstray/pool/pool_task.py
+++ b/src/brasstray/pool/pool_task.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from brasstray.batch.ids import RunNumber
     from brasstray.batch.task_name import TaskName
-    from brasstray.job.ids import MinionId
+    from brasstray.job.ids import MinionKey
     from brasstray.pool.step_tasks import StepTasks
 
 
@@ -35,7 +35,7 @@
     last_run: RunNumber
     failures: int = 0
     straggled: bool = False
-    avoided: set[MinionId] = field(default_factory=set)
+    avoided: set[MinionKey] = field(default_factory=set)
 
 
 __all__ = ["PoolTask", "TaskPhase"]
--- a/src/brasstray/pool/run_tracker.py
+++ b/src/brasstray/pool/run_tracker.py
@@ -145,10 +145,10 @@
             # A run on a cold minion shows neither how long the queue's tasks take nor
             # how fast the minion is once it is warm.
             return
-        minion_id = minion.entry.id
+        minion_key = minion.entry.key
         took = self._clock.monotonic() - record.began
-        task.parent_step.slowdowns[minion_id] = took / record.expected
-        self._durations.learn(task.parent_step, minion_id, record.expected, took)
+        task.parent_step.slowdowns[minion_key] = took / record.expected
+        self._durations.learn(task.parent_step, minion_key, record.expected, took)
 
     def _handle_failure(self, minion: Minion, task: PoolTask) -> None:
         self._health_monitor.record_failed(minion, task, self._clock.monotonic())
@@ -190,7 +190,7 @@
                     self._tasks.finish(task, done=False)
                     return
             case _:
-                task.avoided.add(minion.entry.id)
+                task.avoided.add(minion.entry.key)
         self._tasks.queue(task)
 
     def record_never_ran(self, minion: Minion, record: RunRecord) -> None:
--- a/src/brasstray/pool/step_tasks.py
+++ b/src/brasstray/pool/step_tasks.py
@@ -10,7 +10,7 @@
 
     from brasstray.batch.ids import BatchId
     from brasstray.batch.resources import Resources
-    from brasstray.job.ids import MinionId, ServiceName
+    from brasstray.job.ids import MinionKey, ServiceName
     from brasstray.pool.pool_task import PoolTask
     from brasstray.pool.requester import Requester
 
@@ -46,11 +46,11 @@
     queue: str
     width: int
     begun: bool = False
-    slowdowns: dict[MinionId, float] = field(default_factory=dict)
+    slowdowns: dict[MinionKey, float] = field(default_factory=dict)
     tasks: dict[int, PoolTask] = field(default_factory=dict)
     waiting: list[PoolTask] = field(default_factory=list)
 
-    def best_slowdown_elsewhere(self, minion: MinionId) -> float | None:
+    def best_slowdown_elsewhere(self, minion: MinionKey) -> float | None:
         """Return the lowest slowdown on other minions, or None if none is known."""
         others = [ratio for other, ratio in self.slowdowns.items() if other != minion]
         return min(others, default=None)
