Tell incarnations of a minion under one id apart

Cause: minions may start again under the id that they had. Their runs, leases, numbers of ends and clock begin anew, while their owner went on by the old ones: it acknowledged unread ends, waited for runs that were gone, and a start that was carried out late by the new incarnation, which has seen neither stop nor token, could begin beside a second run.

A session now belongs to one incarnation, by the `born` of entries and lists of runs. Runs that the earlier one had listed end with it; any other start is stopped on the next one before its task runs elsewhere. A list that lags, and replies to a replaced session, change nothing. Ruled out: waiting 13 s after each unanswered start, which would cost the task of every lost reply, and a store call for each restart.

--- a/src/brasstray/host/event_log.py
+++ b/src/brasstray/host/event_log.py
@@ -18,6 +18,7 @@
     from brasstray.job.ids import HostName
     from brasstray.metrics.pool_metrics import PoolMetrics
     from brasstray.pool.errors import StartRefusal
+    from brasstray.pool.incarnation import SeenIn
     from brasstray.pool.lease_snapshot import LeaseSnapshot
     from brasstray.pool.minion import Minion
     from brasstray.pool.minion_health import Evidence
@@ -123,6 +124,21 @@
             phase=phase.value if phase else None,
         )
 
+    def restarted(
+        self, before: Minion, after: Minion, seen_in: SeenIn, ended: int, open_runs: int
+    ) -> None:
+        """Record that a minion has started again under its id."""
+        self._metrics.count_minion_restart(seen_in.value)
+        log_message(
+            "brasstray:minion_restarted",
+            minion=after.entry.id,
+            born_before=before.entry.born,
+            born=after.entry.born,
+            seen_in=seen_in.value,
+            ended=ended,
+            open=open_runs,
+        )
+
     def leases_expired(
         self, minion: Minion, lease_snapshot: LeaseSnapshot, *, certain: bool
     ) -> None:
--- a/src/brasstray/metrics/pool_metrics.py
+++ b/src/brasstray/metrics/pool_metrics.py
@@ -39,6 +39,10 @@
         self._run_ends = meter.create_counter(
             "brasstray_run_ends", description="runs ended, by how"
         )
+        self._minion_restarts = meter.create_counter(
+            "brasstray_minion_restarts",
+            description="minions started again under their id, by where it was seen",
+        )
         self._config_bytes = meter.create_counter(
             "brasstray_config_bytes",
             unit="By",
@@ -85,6 +89,10 @@
         """Count a task that is requested again."""
         self._retries.add(1, {_REASON: reason})
 
+    def count_minion_restart(self, seen_in: str) -> None:
+        """Count a minion that started again under its id, by where it was seen."""
+        self._minion_restarts.add(1, {"seen_in": seen_in})
+
     def count_config_bytes(self, use: str, size: int) -> None:
         """Count bytes of configurations exchanged with hosts, by their use."""
         self._config_bytes.add(size, {"what": use})
--- a/src/brasstray/platform/minion_bodies.py
+++ b/src/brasstray/platform/minion_bodies.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 
 from brasstray.batch.ids import RunNumber
 from brasstray.platform.body import Body
 from brasstray.platform.task_name_format import parse_task_name
+from brasstray.pool.incarnation import parse_born
 from brasstray.pool.probe_reply import ActiveRun, EndedRun, ProbeReply, RunEnd
 
 _RUN_END_BY_TEXT = {
@@ -54,27 +57,33 @@
 
 
 class Reply(Body, frozen=True, kw_only=True):
-    """Hold the reply to a start, or a refusal; `clock_ms` is the minion's clock."""
+    """Hold the reply to a start, or a refusal; `clock_ms` is the minion's clock.
+
+    `born` is the minion's start as written by it, of any type.
+    """
 
     clock_ms: int = 0
     reason: str = ""
+    born: Any = msgspec.field(default=msgspec.UNSET, name="born")
 
 
 class HoldReply(Body, frozen=True, kw_only=True):
     """Report the active and the ended runs of a minion.
 
     Rows of `running` begin with task, run, checkpoint and percent; those of `finished`
-    with number, task, run and the kind of end. Further columns are ignored.
+    with number, task, run and the kind of end. Further columns are ignored. `born` is
+    the minion's start as written by it, of any type.
     """
 
     clock_ms: int
     running: list[list[str | int | float]] = msgspec.field(default_factory=list)
     finished: list[list[str | int | float]] = msgspec.field(default_factory=list)
+    born: Any = msgspec.field(default=msgspec.UNSET, name="born")
 
     def to_probe_reply(self) -> ProbeReply:
         """Convert the rows.
 
-        Raises ValueError, KeyError or IndexError if a row is malformed.
+        Raises ValueError, KeyError or IndexError if a row or `born` is malformed.
         """
         active = tuple(
             ActiveRun(parse_task_name(str(row[0])), RunNumber(int(row[1])), int(row[3]))
@@ -89,7 +98,19 @@
             )
             for row in self.finished
         )
-        return ProbeReply(self.clock_ms, active, ended)
+        return ProbeReply(self.clock_ms, active, ended, read_born(self.born))
+
+
+def read_born(field: object) -> int | None:
+    """Return the time of start in a decoded field, None if that is absent.
+
+    Raises ValueError if it is of another type; null is one.
+    """
+    if field is msgspec.UNSET:
+        return None
+    if field is None:
+        raise ValueError("the time of start is null")
+    return parse_born(field)
 
 
-__all__ = ["HoldBody", "HoldReply", "Reply", "StartBody", "StopBody"]
+__all__ = ["HoldBody", "HoldReply", "Reply", "StartBody", "StopBody", "read_born"]
--- a/src/brasstray/platform/minion_client.py
+++ b/src/brasstray/platform/minion_client.py
@@ -13,15 +13,18 @@
     Reply,
     StartBody,
     StopBody,
+    read_born,
 )
 from brasstray.platform.task_name_format import format_task_name
 from brasstray.pool.errors import (
     FencedError,
     MinionGoneError,
     MinionNoResponseError,
+    MinionRestartedError,
     StartRefusal,
     StartRefusedError,
 )
+from brasstray.pool.incarnation import Incarnation, classify_reply
 
 if TYPE_CHECKING:
     from datetime import timedelta
@@ -29,7 +32,7 @@
     from brasstray.batch.ids import FencingToken, RunNumber
     from brasstray.batch.task_name import TaskName
     from brasstray.http.client_response import ClientResponse
-    from brasstray.job.ids import MinionId
+    from brasstray.job.ids import MinionKey
     from brasstray.platform.body import Body
     from brasstray.pool.minion_entry import MinionEntry
     from brasstray.pool.probe_reply import ProbeReply
@@ -48,7 +51,7 @@
     """Call minions over a pool of connections to each."""
 
     def __init__(self) -> None:
-        self._connections: dict[MinionId, HttpConnectionPool] = {}
+        self._connections: dict[MinionKey, HttpConnectionPool] = {}
 
     async def probe(
         self,
@@ -97,7 +100,9 @@
         )
         response = await self._call(minion, "/-/run-start", body, timeout)
         if response.status == 200:
-            return _reply(response).clock_ms
+            reply = _reply(response)
+            _check_incarnation(minion, reply)
+            return reply.clock_ms
         if response.status in (429, 503):
             raise StartRefusedError(StartRefusal.UNHEALTHY)
         if response.status == 409:
@@ -122,20 +127,22 @@
         response = await self._call(minion, "/-/run-stop", body, timeout)
         if response.status != 200:
             raise MinionNoResponseError(f"status {response.status}")
+        if minion.born is not None:
+            _check_incarnation(minion, _reply(response))
 
     async def close_connections(self, minion: MinionEntry) -> None:
         """Close the connections to a minion that is no longer listed."""
-        connections = self._connections.pop(minion.id, None)
+        connections = self._connections.pop(minion.key, None)
         if connections is not None:
             await connections.aclose()
 
     async def _call(
         self, minion: MinionEntry, target: str, body: Body, timeout: timedelta
     ) -> ClientResponse:
-        connections = self._connections.get(minion.id)
+        connections = self._connections.get(minion.key)
         if connections is None:
             connections = HttpConnectionPool(minion.host, minion.port, IDLE_CONNECTIONS)
-            self._connections[minion.id] = connections
+            self._connections[minion.key] = connections
         headers = [(b"X-Target-Instance", str(minion.id).encode())]
         try:
             response = await connections.call(
@@ -150,6 +157,16 @@
         return response
 
 
+def _check_incarnation(minion: MinionEntry, reply: Reply) -> None:
+    try:
+        born = read_born(reply.born)
+    except ValueError as error:
+        raise MinionNoResponseError(f"invalid response body: {error}") from error
+    if classify_reply(minion.born, born, replaced=False) is Incarnation.LATER:
+        assert born is not None
+        raise MinionRestartedError(born)
+
+
 def _reply(response: ClientResponse) -> Reply:
     try:
         return Reply.decode(response.content)
--- a/src/brasstray/platform/minion_listing.py
+++ b/src/brasstray/platform/minion_listing.py
@@ -3,13 +3,14 @@
 from __future__ import annotations
 
 import re
-from typing import TYPE_CHECKING, Annotated
+from typing import TYPE_CHECKING, Annotated, Any
 
 import msgspec
 
 from brasstray.batch.resources import Resources
 from brasstray.job.ids import DataCentreName, MinionId, ServiceName
 from brasstray.platform.body import Body, UnreadableBodyError
+from brasstray.platform.minion_bodies import read_born
 from brasstray.pool.minion_entry import MinionEntry
 from brasstray.settings.endpoint import parse_endpoint
 
@@ -39,7 +40,8 @@
 class ServerBody(Body, frozen=True, kw_only=True):
     """Describe a minion; its id is the last part of the entry's key.
 
-    `cold_left_ms` is the remaining warm-up time when the entry was written.
+    `cold_left_ms` is the remaining warm-up time when the entry was written. `born` is
+    the minion's start as written by it, of any type.
     """
 
     service: str
@@ -49,6 +51,7 @@
     capacity: CapacityBody
     labels: tuple[str, ...] = ()
     cold_left_ms: float = 0
+    born: Any = msgspec.field(default=msgspec.UNSET, name="born")
 
 
 class MinionListing:
@@ -90,6 +93,10 @@
         raise UnreadableBodyError(
             f"invalid address {body.address!r}: expected {error}"
         ) from error
+    try:
+        born = read_born(body.born)
+    except ValueError as error:
+        raise UnreadableBodyError(str(error)) from error
     return MinionEntry(
         MinionId(name),
         ServiceName(body.service),
@@ -100,6 +107,7 @@
         body.labels,
         _DRAINING_BY_STATE[body.state],
         max(0, int(min(body.cold_left_ms, MAX_WARM_UP_MS))),
+        born,
     )
 
 
--- a/src/brasstray/pool/errors.py
+++ b/src/brasstray/pool/errors.py
@@ -27,6 +27,14 @@
     """Another incarnation answers at the address; the runs of this one have ended."""
 
 
+class MinionRestartedError(MinionCallError):
+    """A later incarnation under the same id replied, and may have done the call."""
+
+    def __init__(self, born: int) -> None:
+        super().__init__(str(born))
+        self.born = born
+
+
 class FencedError(MinionCallError):
     """The minion has seen a higher fencing token, and did not carry out the call."""
 
@@ -44,6 +52,7 @@
     "MinionCallError",
     "MinionGoneError",
     "MinionNoResponseError",
+    "MinionRestartedError",
     "StartRefusal",
     "StartRefusedError",
 ]
--- a/src/brasstray/pool/lease_clock.py
+++ b/src/brasstray/pool/lease_clock.py
@@ -31,12 +31,25 @@
         self._lease_requested = False
         self._unanswered: list[timedelta] = []
         self._extendable_until = timedelta()
+        self._last_request_at = timedelta()
 
     @property
     def clock_known(self) -> bool:
         """Return whether the minion has answered a call."""
         return self._clock_ms is not None
 
+    def next_incarnation(self) -> LeaseClock:
+        """Return the clock of a later incarnation under the same id.
+
+        It starts anew, as its leases do. Calls that had no response may extend leases
+        there as well.
+        """
+        later = LeaseClock(self._timing)
+        later._unanswered = list(self._unanswered)
+        later._extendable_until = self._extendable_until
+        later._last_request_at = self._last_request_at
+        return later
+
     def record_clock(self, clock_ms: int, sent: timedelta, received: timedelta) -> None:
         """Record the minion's clock, `clock_ms`, from the response to a call.
 
@@ -85,8 +98,20 @@
         until = self._clock_ms + length // _MILLISECOND
         self._latest_until_ms = max(self._latest_until_ms, until)
         self._lease_requested = True
+        self._last_request_at = now
         return until
 
+    def all_expired_at(self) -> timedelta:
+        """Return when leases have expired, whichever incarnation granted them.
+
+        A time on the clock of one is no bound on that of another, but none grants more
+        than the longest lease from the arrival of a call. Calls that a later answer
+        showed to be lost or delayed count until they can have no effect.
+        """
+        slowest = 1 - self._timing.clock_rate_error
+        end = self._last_request_at + self._timing.longest_lease / slowest
+        return max(end, self._extendable_until)
+
     def time_to_expiry(self, now: timedelta) -> timedelta:
         """Return the time until every lease has expired, whichever owner requested it.
 
--- a/src/brasstray/pool/minion.py
+++ b/src/brasstray/pool/minion.py
@@ -50,6 +50,7 @@
         self.reach = Reachability.UNPROBED
         self.health = MinionHealth()
         self.runs: dict[tuple[TaskName, RunNumber], RunRecord] = {}
+        self._described = True
         self._cold_until = timedelta(0)
         self._stops_done_by = timedelta(0)
         self._used = Resources()
@@ -61,8 +62,17 @@
     def update_entry(self, entry: MinionEntry, now: timedelta) -> None:
         """Replace the entry with the one read at `now`."""
         self.entry = entry
+        self._described = True
         self._cold_until = now + timedelta(milliseconds=entry.cold_left_ms)
 
+    def await_entry(self) -> None:
+        """Start nothing here until an entry is read.
+
+        The present one describes an earlier incarnation, which may have had more
+        capacity or other labels.
+        """
+        self._described = False
+
     def is_cold(self, now: timedelta) -> bool:
         """Return whether the minion is still warming up after its start."""
         return now < self._cold_until
@@ -164,6 +174,7 @@
         if (
             self.reach is not Reachability.LEASED
             or self.entry.draining
+            or not self._described
             or self.has_unsized_runs
         ):
             return False
--- a/src/brasstray/pool/minion_calls.py
+++ b/src/brasstray/pool/minion_calls.py
@@ -16,7 +16,9 @@
 class MinionCalls(Protocol):
     """Call minions; every method may raise a MinionCallError.
 
-    Times called `until_ms` are on the minion's clock, in milliseconds.
+    Times called `until_ms` are on the minion's clock, in milliseconds. The incarnation
+    that answered a probe is in its reply; MinionRestartedError says that another than
+    that of `minion` answered a start or a stop.
     """
 
     async def probe(
--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from contextlib import suppress
 from datetime import timedelta
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NoReturn
 
 import anyio
 
@@ -11,8 +12,10 @@
     FencedError,
     MinionGoneError,
     MinionNoResponseError,
+    MinionRestartedError,
     StartRefusedError,
 )
+from brasstray.pool.incarnation import Incarnation, classify_reply
 from brasstray.pool.lease_clock import MAX_EFFECT_DELAY, LeaseClock
 from brasstray.pool.minion import Reachability
 from brasstray.pool.renewal_limit import RenewalLimit
@@ -28,6 +31,7 @@
     from brasstray.pool.minion import Minion
     from brasstray.pool.minion_calls import MinionCalls
     from brasstray.pool.owner import PoolOwner
+    from brasstray.pool.probe_reply import ProbeReply
     from brasstray.pool.run_record import RunRecord
     from brasstray.pool.timing import PoolTiming
 
@@ -81,6 +85,9 @@
         self._renewal_limit = RenewalLimit(minion, timing, owner.events)
         self._answer_count = 0
         self._unresolved_starts: dict[tuple[TaskName, RunNumber], timedelta] = {}
+        self._unanswered_starts: dict[tuple[TaskName, RunNumber], timedelta] = {}
+        self._replaced = False
+        self._has_said_born = False
 
     @property
     def minion(self) -> Minion:
@@ -93,6 +100,27 @@
             now - since < MAX_EFFECT_DELAY for since in self._unresolved_starts.values()
         )
 
+    def inherit_late_starts(self, earlier: MinionSession) -> None:
+        """Expect the late starts of an earlier incarnation's session here.
+
+        This incarnation has seen no fencing token and no stop, and its clock is another
+        one, so it would carry out any of them.
+        """
+        now = self._clock.monotonic()
+        self._lease = earlier._lease.next_incarnation()
+        self._unanswered_starts = dict(earlier._unanswered_starts)
+        self._forget_old_starts(now)
+        self._unresolved_starts = dict.fromkeys(self._unanswered_starts, now)
+        for key, record in self._minion.runs.items():
+            self._unresolved_starts[key] = now
+            record.state = RunState.STOPPING
+            self._group.start_soon(self._stop, record)
+
+    def _forget_old_starts(self, now: timedelta) -> None:
+        for key, sent in list(self._unanswered_starts.items()):
+            if now - sent >= MAX_EFFECT_DELAY:
+                del self._unanswered_starts[key]
+
     async def run(self) -> None:
         """Run the session until it is closed or the minion is gone.
 
@@ -102,7 +130,7 @@
             with self._scope:
                 await self._run()
         except MinionGoneError:
-            self._owner.end_runs_on(self._minion, gone=True)
+            self._handle_gone()
         except FencedError:
             self._owner.depose()
         finally:
@@ -113,6 +141,20 @@
         """Stop probing, as the minion has been removed for good."""
         self._scope.cancel()
 
+    def replace(self) -> None:
+        """Stop probing and ignore all replies, as a later incarnation is there."""
+        self._replaced = True
+        self._scope.cancel()
+
+    def _handle_gone(self) -> None:
+        if not self._replaced:
+            self._owner.end_runs_on(self._minion, gone=True)
+
+    def _handle_restart(self, born: int) -> NoReturn:
+        if not self._replaced:
+            self._owner.handle_restart(self._minion, born)
+        raise MinionGoneError(str(self._minion.entry.key))
+
     async def _run(self) -> None:
         while True:
             try:
@@ -193,6 +235,8 @@
                 else:
                     await self._probe(lease=False, wait=_NO_WAIT)
             except MinionNoResponseError:
+                if expired or self._minion.reach is Reachability.UNPROBED:
+                    self._expire_late_starts()
                 if expired:
                     await self._clock.sleep(pause)
                     pause = min(pause * 2, MAX_PROBE_BACKOFF)
@@ -216,9 +260,39 @@
             certain = await self._owner.confirm_ownership()
         if self._answer_count != answers:
             return False
-        self._owner.expire_runs_on(self._minion, lease_snapshot, certain=certain)
+        self._owner.expire_runs_on(
+            self._minion, lease_snapshot, certain=certain, kept=self._late_runs(now)
+        )
         return True
 
+    def _late_runs(self, now: timedelta) -> set[tuple[TaskName, RunNumber]]:
+        """Return the runs that a later incarnation may have, or may still begin.
+
+        The lease of a late start counts on the clock of the incarnation that carries it
+        out, so the end of the known leases is no bound. Where minions do not report
+        when they started, another incarnation has another id and rejects the start.
+        """
+        if self._minion.entry.born is None:
+            return set()
+        return {
+            key
+            for key, record in self._minion.runs.items()
+            if not record.reported
+            and record.task is not None
+            and now < self._latest_effect(key)
+        }
+
+    def _latest_effect(self, key: tuple[TaskName, RunNumber]) -> timedelta:
+        sent = self._unanswered_starts.get(key)
+        return self._lease.all_expired_at() if sent is None else sent + MAX_EFFECT_DELAY
+
+    def _expire_late_starts(self) -> None:
+        """End the runs that no incarnation can have or begin any more."""
+        if self._minion.runs and self._minion.entry.born is not None:
+            kept = self._late_runs(self._clock.monotonic())
+            if len(kept) < len(self._minion.runs):
+                self._owner.end_runs_on(self._minion, gone=False, kept=kept)
+
     async def _probe_throttled(self) -> None:
         """Probe the minion within the limit on concurrent first calls."""
         async with self._first_call_limiter:
@@ -246,6 +320,7 @@
                 wait,
                 wait + self._timing.probe_timeout + self._lag.allowance,
             )
+            self._check_incarnation(reply)
         except MinionNoResponseError:
             if until is not None:
                 self._lease.record_unanswered(sent)
@@ -270,6 +345,28 @@
             self.renew_if_unlimited()
         return None if out_of_order else {(run.task, run.run) for run in reply.active}
 
+    def _check_incarnation(self, reply: ProbeReply) -> None:
+        """Raise an error unless `reply` is by the incarnation of this session.
+
+        A reply that does not say whose it is counts as before for a minion whose
+        replies never say. Otherwise it proves nothing, and its ends may be those of
+        another incarnation, so it is no response.
+        """
+        known = self._minion.entry.born
+        match classify_reply(known, reply.born, replaced=self._replaced):
+            case Incarnation.EARLIER:
+                raise MinionGoneError(str(self._minion.entry.key))
+            case Incarnation.LATER:
+                assert reply.born is not None
+                self._handle_restart(reply.born)
+            case Incarnation.UNKNOWN if self._has_said_born:
+                raise MinionNoResponseError("the time of start is missing")
+        self._has_said_born = reply.born is not None
+        reported = [(run.task, run.run) for run in reply.active]
+        reported += [(end.task, end.run) for end in reply.ended]
+        for key in reported:
+            self._unanswered_starts.pop(key, None)
+
     def renew_if_unlimited(self) -> None:
         """Renew the leases now if the last renewal was limited and none is any more.
 
@@ -306,6 +403,9 @@
     async def _start(self, record: RunRecord, spec: str) -> None:
         sent = self._clock.monotonic()
         until = self._lease.next_lease_until(sent, self._renewal_limit.until)
+        key = (record.name, record.run)
+        self._forget_old_starts(sent)
+        self._unanswered_starts[key] = sent
         try:
             minion_clock_ms = await self._calls.start(
                 self._minion.entry,
@@ -317,20 +417,31 @@
                 self._timing.call_timeout + self._lag.allowance,
             )
         except StartRefusedError as error:
+            self._unanswered_starts.pop(key, None)
             self._owner.handle_refusal(self._minion, record, error.refusal)
+        except MinionRestartedError as error:
+            with suppress(MinionGoneError):
+                self._handle_restart(error.born)
         except MinionNoResponseError:
+            if self._replaced:
+                return
             self._lease.record_unanswered(sent)
             if record.state is RunState.STARTING:
                 record.state = RunState.OUTCOME_UNKNOWN
                 self._owner.events.unanswered(self._minion, record)
             await self._resolve_start(record)
         except MinionGoneError:
-            self._owner.end_runs_on(self._minion, gone=True)
+            self._handle_gone()
         except FencedError:
             self._owner.depose()
         else:
+            self._unanswered_starts.pop(key, None)
+            if self._replaced:
+                return
             self._answer_count += 1
-            self._lease.record_clock(minion_clock_ms, sent, self._clock.monotonic())
+            if self._minion.entry.born is None:
+                # Otherwise the reply does not say whose clock it shows.
+                self._lease.record_clock(minion_clock_ms, sent, self._clock.monotonic())
             if record.state is RunState.STARTING:
                 record.state = RunState.ACTIVE
             if record.task is None and record.state is RunState.ACTIVE:
@@ -370,10 +481,17 @@
                 await self._await_end(record)
             except MinionNoResponseError:
                 await self._clock.sleep(backoff)
-                backoff = self._timing.probe_backoff
+                backoff = self._stop_backoff()
             except (MinionGoneError, FencedError):
                 return
 
+    def _stop_backoff(self) -> timedelta:
+        """Return the pause between stops; a late run may outlast its leases by long."""
+        expired = self._lease.time_to_expiry(self._clock.monotonic()) <= _NO_WAIT
+        if expired and self._minion.entry.born is not None:
+            return MAX_PROBE_BACKOFF
+        return self._timing.probe_backoff
+
     async def _await_end(self, record: RunRecord) -> None:
         """Wait for the end of a run whose stop was answered.
 
@@ -390,7 +508,12 @@
 
     async def _call_stop(self, name: TaskName, run: RunNumber) -> None:
         timeout = self._timing.call_timeout + self._lag.allowance
-        await self._calls.stop(self._minion.entry, self._token, name, run, timeout)
+        try:
+            await self._calls.stop(self._minion.entry, self._token, name, run, timeout)
+        except MinionRestartedError as error:
+            self._handle_restart(error.born)
+        if self._replaced:
+            raise MinionGoneError(str(self._minion.entry.key))
         self._answer_count += 1
 
 
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -26,7 +26,7 @@
 from brasstray.pool.task_registry import TaskRegistry
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable, Iterable
+    from collections.abc import Awaitable, Callable, Container, Iterable
 
     from anyio.abc import TaskGroup
 
@@ -34,6 +34,7 @@
     from brasstray.clock.clock import Clock
     from brasstray.peer.message.run_tasks import RunTasks
     from brasstray.pool.errors import StartRefusal
+    from brasstray.pool.incarnation import SeenIn
     from brasstray.pool.lease_snapshot import LeaseSnapshot
     from brasstray.pool.minion import Minion
     from brasstray.pool.minion_calls import MinionCalls
@@ -82,7 +83,13 @@
         self._confirm_ownership = confirm_ownership
         self._inherited = list(inherited or ())
         self._durations = Durations(remote_factor)
-        self._roster = Roster(clock, timing, self._open_session, self._forget_minion)
+        self._roster = Roster(
+            clock,
+            timing,
+            self._open_session,
+            self._forget_minion,
+            self._end_incarnation,
+        )
         self._health_monitor = HealthMonitor(lambda: self.minions, events)
         self._tasks = TaskRegistry(clock, events)
         self._contact = ContactBound(
@@ -202,7 +209,35 @@
         self._recovery.record_listed()
         self.dispatch()
 
-    def _open_session(self, minion: Minion) -> MinionSession:
+    def handle_restart(self, minion: Minion, born: int) -> None:
+        """Handle a reply of a later incarnation to a call to `minion`."""
+        self._roster.restart(minion, born)
+
+    def _end_incarnation(self, before: Minion, after: Minion, seen_in: SeenIn) -> None:
+        ended, open_runs = self._runs.end_incarnation(before, after)
+        for record in ended:
+            self._adopt_other_run(record.task)
+        self._durations.forget(before.entry.key)
+        before.reach = Reachability.GONE
+        self._events.restarted(before, after, seen_in, len(ended), len(open_runs))
+        self.dispatch()
+
+    def _adopt_other_run(self, task: PoolTask | None) -> None:
+        """Keep to a run that a replaced owner may have started elsewhere meanwhile.
+
+        That owner may have seen the minion start again while this one could not.
+        """
+        if task is None or task.phase is not TaskPhase.WAITING:
+            return
+        found = self._find_run(task.name)
+        if found is not None:
+            self._tasks.unqueue(task)
+            minion, record = found
+            minion.adopt(record, task)
+
+    def _open_session(
+        self, minion: Minion, earlier: MinionSession | None
+    ) -> MinionSession:
         assert self._group is not None
         session = MinionSession(
             self,
@@ -215,6 +250,8 @@
             self._lag,
             self._first_call_limiter,
         )
+        if earlier is not None:
+            session.inherit_late_starts(earlier)
         self._group.start_soon(session.run)
         return session
 
@@ -374,25 +411,42 @@
         return await self._confirm_ownership()
 
     def expire_runs_on(
-        self, minion: Minion, lease_snapshot: LeaseSnapshot, *, certain: bool
+        self,
+        minion: Minion,
+        lease_snapshot: LeaseSnapshot,
+        *,
+        certain: bool,
+        kept: Container[tuple[TaskName, RunNumber]] = (),
     ) -> None:
         """Record that every lease on `minion` has expired.
 
         Unless that is `certain`, the tasks there are not started elsewhere but returned
-        with an unknown outcome.
+        with an unknown outcome. Runs in `kept` may still begin, and stay.
         """
         if minion.runs:
             self._events.leases_expired(minion, lease_snapshot, certain=certain)
             if not certain:
                 self._runs.give_up_all(minion)
-        self.end_runs_on(minion, gone=False)
+        self.end_runs_on(minion, gone=False, kept=kept)
 
-    def end_runs_on(self, minion: Minion, *, gone: bool) -> None:
-        """Record that all runs on `minion` have ended, and if `gone` the minion too."""
+    def end_runs_on(
+        self,
+        minion: Minion,
+        *,
+        gone: bool,
+        kept: Container[tuple[TaskName, RunNumber]] = (),
+    ) -> None:
+        """Record that runs on `minion` have ended, and if `gone` the minion too.
+
+        Those in `kept` may still begin, and stay.
+        """
         if gone:
             minion.reach = Reachability.GONE
             self._events.reach_changed(minion)
-        self._runs.expire_all(minion)
+        ended = self._runs.expire_all(minion, kept)
+        if minion.entry.born is not None:
+            for record in ended:
+                self._adopt_other_run(record.task)
         self.dispatch()
 
 
--- a/src/brasstray/pool/owner_events.py
+++ b/src/brasstray/pool/owner_events.py
@@ -9,6 +9,7 @@
 
     from brasstray.batch.ids import PoolId
     from brasstray.pool.errors import StartRefusal
+    from brasstray.pool.incarnation import SeenIn
     from brasstray.pool.lease_snapshot import LeaseSnapshot
     from brasstray.pool.minion import Minion
     from brasstray.pool.minion_health import Evidence
@@ -41,6 +42,15 @@
         `phase` is the phase of its task until then; None if no requester asks for it.
         """
 
+    def restarted(
+        self, before: Minion, after: Minion, seen_in: SeenIn, ended: int, open_runs: int
+    ) -> None:
+        """A minion has started again under its id.
+
+        `ended` of its runs have ended with it. `open_runs` may begin after it, as it
+        had not reported them, and are stopped first.
+        """
+
     def leases_expired(
         self, minion: Minion, lease_snapshot: LeaseSnapshot, *, certain: bool
     ) -> None:
--- a/src/brasstray/pool/probe_reply.py
+++ b/src/brasstray/pool/probe_reply.py
@@ -42,11 +42,15 @@
 
 @dataclass(frozen=True, slots=True)
 class ProbeReply:
-    """Hold a minion's clock, its active runs, and the ends not yet acknowledged."""
+    """Hold a minion's clock, its active runs, and the ends not yet acknowledged.
+
+    `born` is the Unix time in ms at which the minion started, None if it does not say.
+    """
 
     clock_ms: int
     active: tuple[ActiveRun, ...]
     ended: tuple[EndedRun, ...]
+    born: int | None = None
 
 
 __all__ = ["ActiveRun", "EndedRun", "ProbeReply", "RunEnd"]
--- a/src/brasstray/pool/run_record.py
+++ b/src/brasstray/pool/run_record.py
@@ -34,7 +34,8 @@
     one that is no longer wanted. `size_known` is false for a run of a previous owner
     until it is claimed, as only its requester knows what it uses. `cold` marks a run
     that began while its minion was warming up. `orphan_contact` is the last contact
-    with the coordinator of a run without a task, or an earlier time.
+    with the coordinator of a run without a task, or an earlier time. `reported` is
+    whether the minion's present incarnation has listed the run as active.
     """
 
     name: TaskName
@@ -48,6 +49,7 @@
     size_known: bool = True
     cold: bool = False
     orphan_contact: timedelta = timedelta(0)
+    reported: bool = False
 
     @property
     def last_contact(self) -> timedelta:
--- a/src/brasstray/pool/run_tracker.py
+++ b/src/brasstray/pool/run_tracker.py
@@ -13,7 +13,7 @@
 from brasstray.pool.run_record import RunRecord, RunState
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Container
 
     from brasstray.batch.task_name import TaskName
     from brasstray.clock.clock import Clock
@@ -85,6 +85,7 @@
         record = minion.runs.get((run.task, run.run))
         if record is not None:
             record.percent = run.percent
+            record.reported = True
             if record.state in (RunState.STARTING, RunState.OUTCOME_UNKNOWN):
                 record.state = RunState.ACTIVE
         elif not minion.has_ended(run.task, run.run):
@@ -107,6 +108,7 @@
             None,
             size_known=False,
             orphan_contact=self._inherited_contact,
+            reported=True,
         )
         minion.add(record)
         task = self._tasks.find(run.task)
@@ -207,11 +209,44 @@
             if record.task is not None:
                 self._tasks.give_up(record.task)
 
-    def expire_all(self, minion: Minion) -> None:
-        """Record that all leases on `minion` have expired, and its runs with them."""
-        for record in list(minion.runs.values()):
+    def expire_all(
+        self,
+        minion: Minion,
+        kept: Container[tuple[TaskName, RunNumber]] = (),
+    ) -> list[RunRecord]:
+        """Record that all leases on `minion` have expired, and its runs with them.
+
+        Return those. Runs in `kept` may still begin on a later incarnation of it.
+        """
+        ended = [record for key, record in minion.runs.items() if key not in kept]
+        for record in ended:
             minion.release(record)
             self._handle_end(minion, record, RunEnd.EXPIRED)
+        return ended
+
+    def end_incarnation(
+        self, before: Minion, after: Minion
+    ) -> tuple[list[RunRecord], list[RunRecord]]:
+        """End the runs of an incarnation that has been replaced.
+
+        Return those that have ended, and those that may begin on the next one.
+
+        Runs that it has reported have ended with it. The order for any other run may
+        have reached the next incarnation, or may still, and its task waits until that
+        one has answered a stop.
+        """
+        ended = []
+        open_runs = []
+        for record in list(before.runs.values()):
+            before.release(record)
+            if record.reported:
+                ended.append(record)
+                self._handle_end(before, record, RunEnd.EXPIRED)
+            else:
+                open_runs.append(record)
+                record.state = RunState.OUTCOME_UNKNOWN
+                after.add(record)
+        return ended, open_runs
 
 
 __all__ = ["RunTracker"]
--- a/src/brasstray_standins/leased_minion.py
+++ b/src/brasstray_standins/leased_minion.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -106,6 +106,7 @@
         self.stuck = False
         self.failing = False
         self.alive = True
+        self.says_born = True
         self._clock = clock
         self._recorder = recorder
         self._clock_offset_ms = clock_offset_ms
@@ -117,6 +118,8 @@
         self._ends: list[EndedRun] = []
         self._end_count = 0
         self._run_ended = anyio.Event()
+        self._rejected_below = FencingToken(0)
+        self._rejected_runs: dict[TaskName, RunNumber] = {}
 
     @property
     def clock_ms(self) -> int:
@@ -142,6 +145,34 @@
         for run in list(self._runs.values()):
             self._remove_run(run)
 
+    def restart(self, born: int, clock_offset_ms: int = 0) -> None:
+        """Start again under the same id, and hold and know nothing of before.
+
+        An order that this incarnation has rejected, by a stop or a higher token, is not
+        carried out by a later one; any other that is delayed may be.
+        """
+        self.crash()
+        self._rejected_below = max(self._rejected_below, self._token)
+        for task, run in self._highest_run.items():
+            before = self._rejected_runs.get(task, RunNumber(0))
+            self._rejected_runs[task] = max(before, run)
+        self.entry = replace(self.entry, born=born)
+        self._token = FencingToken(0)
+        self._lease_until_ms = 0
+        self._highest_run = {}
+        self._ends = []
+        self._end_count = 0
+        self._clock_offset_ms = (
+            clock_offset_ms - self._clock.monotonic() // _MILLISECOND
+        )
+        self.alive = True
+
+    def rejected_earlier(self, token: FencingToken, task: TaskName, run: int) -> bool:
+        """Return whether an earlier incarnation had rejected this order."""
+        if token < self._rejected_below:
+            return True
+        return run <= self._rejected_runs.get(task, RunNumber(0))
+
     def tick(self) -> None:
         """Advance all runs; end those that are finished or whose lease has expired."""
         now = self._clock.monotonic()
@@ -202,7 +233,8 @@
             for run in self._runs.values()
             if run.stopped_at is None
         )
-        return ProbeReply(self.clock_ms, active, tuple(self._ends))
+        born = self.entry.born if self.says_born else None
+        return ProbeReply(self.clock_ms, active, tuple(self._ends), born)
 
     def start(
         self,
--- a/src/brasstray_standins/leased_minion_app.py
+++ b/src/brasstray_standins/leased_minion_app.py
@@ -78,6 +78,8 @@
                 "Running": running,
                 "Finished": finished,
             }
+            if reply.born is not None:
+                content["born"] = reply.born
             return json_response(200, content)
         batch, _, step, index = body["Task"].split(".")
         task = TaskName(BatchId(batch), int(step), int(index))
--- a/src/brasstray_standins/leased_minions.py
+++ b/src/brasstray_standins/leased_minions.py
@@ -108,7 +108,12 @@
         """Start a run and return the minion's clock."""
         del spec
 
+        born = self._minions[minion.id].entry.born
+
         async def operation(target: LeasedMinion) -> int:
+            restarted = target.entry.born != born
+            if restarted and target.rejected_earlier(token, task, run):
+                raise MinionNoResponseError("the order ended with its minion")
             return target.start(minion, token, task, run, until_ms)
 
         if self.delayed_starts > 0:
@@ -183,7 +188,11 @@
             target = self._minions[minion.id]
             if minion.id in self.cut or not target.alive:
                 await anyio.sleep_forever()
+            born = target.entry.born
             answer = await operation(target)
+            if target.entry.born != born:
+                # The process that would have answered is gone.
+                await anyio.sleep_forever()
             if self.lost_responses > 0:
                 self.lost_responses -= 1
                 await anyio.sleep_forever()
--- a/tests/platform/test_decoders.py
+++ b/tests/platform/test_decoders.py
@@ -137,6 +137,11 @@
         {"Capacity": {"Cpu": "16000", "MemMb": 1}},
         {"Capacity": {"Cpu": -1, "MemMb": 1}},
         {"Labels": "r1-3"},
+        {"born": "1764000000000"},
+        {"born": 1.5},
+        {"born": None},
+        {"born": True},
+        {"born": -1},
     ],
 )
 def test_an_invalid_entry_names_no_minion(changes):
@@ -176,3 +181,17 @@
     assert isinstance(found, Configuration)
     assert found.has_service("t")
     assert not found.has_service("u")
+
+
+@pytest.mark.parametrize(("fields", "born"), [({}, None), ({"born": 17}, 17)])
+def test_the_time_of_start_is_read_from_entries_and_lists_of_runs(fields, born):
+    assert parse_minion_entry(entry(json.dumps(SERVER | fields).encode())).born == born
+    reply = HoldReply.decode(json.dumps({"ClockMs": 1} | fields).encode())
+    assert reply.to_probe_reply().born == born
+
+
+@pytest.mark.parametrize("value", ["17", 1.5, 17.0, None, True, -1])
+def test_a_list_of_runs_with_a_time_of_start_of_another_type_is_invalid(value):
+    reply = HoldReply.decode(json.dumps({"ClockMs": 1, "born": value}).encode())
+    with pytest.raises(ValueError, match="time of start"):
+        reply.to_probe_reply()
--- a/tests/pool/takeover.py
+++ b/tests/pool/takeover.py
@@ -97,6 +97,7 @@
     group: anyio.abc.TaskGroup
     minions: int
     duration: timedelta = timedelta(seconds=3)
+    tick: timedelta = TICK
     confirm_delay: timedelta = timedelta(milliseconds=4)
     newest_token: int = 0
     confirmations: int = 0
@@ -119,7 +120,7 @@
             )
             self.stand_ins[entry.id] = LeasedMinion(entry, self.clock, self.recorder)
         self.group.start_soon(
-            tick_all, lambda: list(self.stand_ins.values()), self.clock, TICK
+            tick_all, lambda: list(self.stand_ins.values()), self.clock, self.tick
         )
 
     @property
