Let a minion start again under its id at any step of the pool's model

The model gets one restart: the minion forgets runs and stops, and a start in transit whose lease had expired is valid again on its new clock. The design holds under two assumptions that the module states: what the earlier incarnation had rejected is not carried out by the next one, and a replaced owner sends the next one nothing before its successor does. Without the second the model is refuted: the new incarnation knows no token. The search also found that a run which a replaced owner starts elsewhere, as it has seen the restart, must be adopted once the silent minion's run has ended.

--- a/spec/pool_protocol.py
+++ b/spec/pool_protocol.py
@@ -8,6 +8,14 @@
 taken for its minion. One lease extension may be delayed and take effect after the
 minion has answered later calls. A status query returns the active runs and extends no
 lease; a run that is being stopped appears in no status reply.
+
+With restarts, a minion may start again under its id at any step. It then knows no run
+and no stop, and its clock is another, so that a start in transit whose lease had
+expired is valid again. Two things are assumed, not shown: an order that the earlier
+incarnation had rejected, by a stop or a higher token, is not carried out by the next
+one; and an owner whose token the earlier one would have rejected, as another has taken
+the pool, sends nothing more to the next one before its successor does. Without the
+second assumption the model is refuted, as a new incarnation knows no token.
 """
 
 from __future__ import annotations
@@ -44,6 +52,12 @@
     DELAYED_EXTENSION_IGNORED = "tasks are restarted while a lease extension is delayed"
     FOREIGN_LEASE_IGNORED = "a lease granted by an earlier owner is treated as expired"
     PENDING_STOP_IGNORED = "a new owner treats a run that is being stopped as ended"
+    LATE_START_FORGOTTEN = (
+        "a task whose start was not reported is queued when its minion starts again"
+    )
+    LEASE_OUTLIVES_RESTART = (
+        "the end of an earlier incarnation's lease is that of a start on the next one"
+    )
     SENT_START_FORGOTTEN = "a job is reported as not run although a start was sent"
 
 
@@ -64,6 +78,7 @@
     late_extension: bool = False
     leased_by: int = 1
     stopping: int = 0
+    incarnation: int = 0
 
 
 class StartMessage(NamedTuple):
@@ -88,7 +103,9 @@
     `unanswered_starts` are the (minion, run) pairs whose outcome is unknown, and
     `delayed_extension` the minion whose lease extension had no reply. `phase` is "away"
     (not yet owning), "settling", "found", "waiting", "sent", "active", "stopping",
-    "silent" or "given up".
+    "silent" or "given up". `incarnations` are those of the minions as
+    the owner knows them, and `unprobed` the minions that have not answered it since
+    they started again.
     """
 
     phase: str
@@ -98,10 +115,15 @@
     fenced: frozenset[int] = frozenset()
     unreachable: frozenset[int] = frozenset()
     delayed_extension: int | None = None
+    incarnations: tuple[int, int] = (0, 0)
+    unprobed: frozenset[int] = frozenset()
 
 
 class State(NamedTuple):
-    """The whole system; `sent` once any start was sent, `refused` once the job was."""
+    """The whole system; `sent` once any start was sent, `refused` once the job was.
+
+    `restarts_left` is None if minions do not start again under their ids.
+    """
 
     minions: tuple[Minion, Minion]
     start_messages: frozenset[StartMessage]
@@ -111,16 +133,22 @@
     refused: bool = False
     extension: Extension | None = None
     extensions_left: int = 1
+    restarts_left: int | None = None
 
 
-def initial() -> State:
-    """Return the state in which the first owner has the task and has not sent it."""
+def initial(restarts: int | None) -> State:
+    """Return the state in which the first owner has the task and has not sent it.
+
+    With restarts, no lease extension is delayed, to limit the number of states.
+    """
     all_minions = frozenset(MINIONS)
     return State(
         (Minion(), Minion()),
         frozenset(),
         Owner("waiting", fenced=all_minions),
         Owner("away"),
+        extensions_left=1 if restarts is None else 0,
+        restarts_left=restarts,
     )
 
 
@@ -137,6 +165,9 @@
         yield from lose_contact(s, name, owner, variant)
         yield from restore_contact(s, name, token, owner, variant)
         yield from delay_extension(s, name, token, owner)
+        yield from see_restart(s, name, owner, variant)
+        yield from probe_restarted(s, name, token, owner)
+    yield from restart(s)
     yield from take_over(s, variant)
     yield from refuse_job(s, variant)
 
@@ -193,7 +224,7 @@
         and variant is not PoolVariant.START_BEFORE_FENCING
     ):
         return
-    for number in sorted(owner.fenced - owner.unreachable):
+    for number in sorted(owner.fenced - owner.unreachable - owner.unprobed):
         run = owner.run + 1
         message = StartMessage(number, token, run)
         placed = owner._replace(phase="sent", minion=number, run=run)
@@ -207,6 +238,8 @@
     """The owner sees its run in a status reply, or is notified of its end."""
     if owner.phase not in ("sent", "active") or owner.minion in owner.unreachable:
         return
+    if _is_replaced(s, owner, owner.minion):
+        return
     minion = s.minions[owner.minion]
     if minion.token > token:
         return
@@ -216,7 +249,7 @@
                 f"{name} sees its run",
                 s._replace(**{name: owner._replace(phase="active")}),
             )
-    elif owner.phase == "active":
+    elif owner.phase == "active" and minion.stopping != owner.run:
         done = owner._replace(phase="waiting")
         yield f"{name} is notified of the end", s._replace(**{name: done})
     if owner.phase == "active" and minion.running == owner.run:
@@ -235,7 +268,12 @@
     """
     if owner.minion in owner.unreachable:
         return
-    if owner.phase == "stopping" and not s.minions[owner.minion].stopping:
+    replaced = _is_replaced(s, owner, owner.minion)
+    if (
+        owner.phase == "stopping"
+        and not replaced
+        and not s.minions[owner.minion].stopping
+    ):
         finished = owner._replace(phase="waiting")
         yield (
             f"{name} is notified that its run was stopped",
@@ -249,6 +287,13 @@
     minion = s.minions[owner.minion]
     if minion.token <= token:
         stopped = _stop(minion, owner.run)
+        if replaced:
+            # The answer does not say which incarnation carried the stop out.
+            yield (
+                f"{name} has its run stopped on a later incarnation",
+                _with_minion(s, owner.minion, stopped),
+            )
+            return
         resolved = owner._replace(phase="stopping" if stopped.stopping else "waiting")
         state = _with_minion(s, owner.minion, stopped)._replace(**{name: resolved})
         yield f"{name} has its run stopped", state
@@ -302,6 +347,16 @@
 
 def _expire(s: State, name: str, owner: Owner, variant: PoolVariant) -> State:
     number = owner.minion
+    late = (number, owner.run) in owner.unanswered_starts
+    if (
+        s.restarts_left is not None
+        and late
+        and variant is not PoolVariant.LEASE_OUTLIVES_RESTART
+    ):
+        return _end_late_start(s, name, owner)
+    if _is_replaced(s, owner, number):
+        # The runs of the earlier incarnation are over; nothing is known of the next.
+        return s._replace(**{name: _freed(s, name, owner)})
     start_messages = frozenset(
         message._replace(lease_valid=False) if message.minion == number else message
         for message in s.start_messages
@@ -313,12 +368,143 @@
     )
     if expired.token == token and lease_known and not expired.late_extension:
         expired = expired._replace(lease=False, running=0, stopping=0)
-    freed = owner._replace(phase="waiting")
+    freed = _freed(s, name, owner)
     return _with_minion(s, number, expired)._replace(
         start_messages=start_messages, **{name: freed}
     )
 
 
+def _freed(s: State, name: str, owner: Owner) -> Owner:
+    """Return the owner once its run has ended with a silent or restarted minion."""
+    if s.restarts_left is None:
+        return owner._replace(phase="waiting")
+    # A new owner starts nothing before its recovery is over.
+    phase = "settling" if name == "second" else "waiting"
+    return _adopt_other_run(s, owner._replace(phase=phase), owner.minion)
+
+
+def _end_late_start(s: State, name: str, owner: Owner) -> State:
+    """Wait until the start is too old for any incarnation to carry out, or to run."""
+    number = owner.minion
+    start_messages = frozenset(
+        message
+        for message in s.start_messages
+        if (message.minion, message.run) != (number, owner.run)
+    )
+    minion = s.minions[number]
+    token = 1 if name == "first" else 2
+    if minion.token <= token and minion.leased_by <= token:
+        minion = minion._replace(lease=False, running=0, stopping=0)
+    freed = _freed(s, name, owner)
+    return _with_minion(s, number, minion)._replace(
+        start_messages=start_messages, **{name: freed}
+    )
+
+
+def restart(s: State) -> Iterator[Step]:
+    """A minion starts again under its id, and knows nothing of before."""
+    if not s.restarts_left:
+        return
+    for number, minion in enumerate(s.minions):
+        # The token stays: see the module's text.
+        begun = Minion(
+            token=minion.token,
+            lease=False,
+            leased_by=0,
+            incarnation=minion.incarnation + 1,
+        )
+        start_messages = frozenset(
+            message._replace(lease_valid=True) if message.minion == number else message
+            for message in s.start_messages
+            if message.minion != number
+            or (
+                message.token >= minion.token
+                and message.run > minion.highest_barred_run
+            )
+        )
+        restarted = _with_minion(s, number, begun)._replace(
+            start_messages=start_messages, restarts_left=s.restarts_left - 1
+        )
+        yield f"{number} starts again", restarted
+
+
+def see_restart(
+    s: State, name: str, owner: Owner, variant: PoolVariant
+) -> Iterator[Step]:
+    """The owner reads the entry of a later incarnation, or gets a reply from it.
+
+    A run that the earlier one had reported has ended. Any other start may be in transit
+    still, or have begun, and is stopped first.
+    """
+    for number in MINIONS:
+        if not _is_replaced(s, owner, number):
+            continue
+        incarnations = list(owner.incarnations)
+        incarnations[number] = s.minions[number].incarnation
+        seen = owner._replace(
+            incarnations=tuple(incarnations),
+            unprobed=owner.unprobed | {number},
+            unreachable=owner.unreachable - {number},
+        )
+        if owner.minion == number and owner.phase not in ("waiting", "settling"):
+            phase = _phase_after_restart(owner, variant)
+            seen = seen._replace(phase=phase)
+            if phase == "waiting":
+                seen = _freed(s, name, seen)
+        yield f"{name} sees that {number} started again", s._replace(**{name: seen})
+
+
+def _adopt_other_run(s: State, owner: Owner, restarted: int) -> Owner:
+    """Keep to a run that was found elsewhere meanwhile, as of a replaced owner."""
+    for number in sorted(owner.fenced - owner.unreachable - {restarted}):
+        minion = s.minions[number]
+        if owner.phase not in ("waiting", "settling") or _is_replaced(s, owner, number):
+            continue
+        if minion.running:
+            phase = "active" if owner.phase == "waiting" else "found"
+            return owner._replace(phase=phase, minion=number, run=minion.running)
+        if minion.stopping:
+            return owner._replace(phase="stopping", minion=number, run=minion.stopping)
+    return owner
+
+
+def _phase_after_restart(owner: Owner, variant: PoolVariant) -> str:
+    late = (owner.minion, owner.run) in owner.unanswered_starts
+    if owner.phase == "given up":
+        return owner.phase
+    if owner.phase == "sent" or (owner.phase == "silent" and late):
+        forgets = variant is PoolVariant.LATE_START_FORGOTTEN
+        return "waiting" if forgets else "sent"
+    return "waiting"
+
+
+def probe_restarted(s: State, name: str, token: int, owner: Owner) -> Iterator[Step]:
+    """A later incarnation answers: late starts are stopped, then a lease is granted."""
+    for number in sorted(owner.unprobed - owner.unreachable):
+        minion = s.minions[number]
+        if minion.token > token or _is_replaced(s, owner, number):
+            continue
+        resolved = frozenset(
+            start for start in owner.unanswered_starts if start[0] == number
+        )
+        for _, run in resolved:
+            minion = _stop(minion, run)
+        probed = owner._replace(
+            unprobed=owner.unprobed - {number},
+            unanswered_starts=owner.unanswered_starts - resolved,
+        )
+        leased = minion._replace(lease=True, token=token, leased_by=token)
+        yield (
+            f"{name} leases {number} after its restart",
+            _with_minion(s, number, leased)._replace(**{name: probed}),
+        )
+
+
+def _is_replaced(s: State, owner: Owner, number: int) -> bool:
+    """Return whether the minion has started again and the owner does not know."""
+    return s.minions[number].incarnation != owner.incarnations[number]
+
+
 def restore_contact(
     s: State, name: str, token: int, owner: Owner, variant: PoolVariant
 ) -> Iterator[Step]:
@@ -327,6 +513,8 @@
         minion = s.minions[number]
         if minion.token > token or (owner.phase == "silent" and owner.minion == number):
             continue
+        if _is_replaced(s, owner, number):
+            continue
         resolved = frozenset(
             start for start in owner.unanswered_starts if start[0] == number
         )
@@ -363,7 +551,13 @@
         if number in owner.fenced:
             continue
         minion = s.minions[number]
-        seen = owner._replace(fenced=owner.fenced | {number})
+        incarnations = list(owner.incarnations)
+        incarnations[number] = minion.incarnation
+        seen = owner._replace(
+            fenced=owner.fenced | {number},
+            incarnations=tuple(incarnations),
+            unprobed=owner.unprobed - {number},
+        )
         if minion.running and owner.phase == "settling":
             seen = seen._replace(phase="found", minion=number, run=minion.running)
         elif minion.running and owner.phase == "waiting":
@@ -375,6 +569,8 @@
         )
     for number in sorted(owner.fenced - owner.unreachable):
         minion = s.minions[number]
+        if _is_replaced(s, owner, number) or number in owner.unprobed:
+            continue
         if minion.leased_by != 2:
             leased = minion._replace(lease=True, leased_by=2)
             yield f"second leases {number}", _with_minion(s, number, leased)
@@ -425,10 +621,16 @@
 POOL_INVARIANTS = {check.__name__: check for check in (never_two_runs, not_run_is_true)}
 
 
-def pool_model(variant: PoolVariant = PoolVariant.AS_DESIGNED) -> Protocol:
-    """Return the model of `variant` for the checker."""
+def pool_model(
+    variant: PoolVariant = PoolVariant.AS_DESIGNED, restarts: int | None = None
+) -> Protocol:
+    """Return the model of `variant`, with that many restarts under the same id."""
     return fail_fast_model(
-        variant.value, State, initial(), lambda s: steps(s, variant), POOL_INVARIANTS
+        variant.value,
+        State,
+        initial(restarts),
+        lambda s: steps(s, variant),
+        POOL_INVARIANTS,
     )
 
 
--- a/tests/spec/test_pool_protocol.py
+++ b/tests/spec/test_pool_protocol.py
@@ -20,9 +20,13 @@
     PoolVariant.DELAYED_EXTENSION_IGNORED: "never_two_runs",
     PoolVariant.FOREIGN_LEASE_IGNORED: "never_two_runs",
     PoolVariant.PENDING_STOP_IGNORED: "never_two_runs",
+    PoolVariant.LATE_START_FORGOTTEN: "never_two_runs",
+    PoolVariant.LEASE_OUTLIVES_RESTART: "never_two_runs",
     PoolVariant.SENT_START_FORGOTTEN: "not_run_is_true",
 }
 
+RESTARTS = {PoolVariant.LATE_START_FORGOTTEN: 1, PoolVariant.LEASE_OUTLIVES_RESTART: 1}
+
 
 def test_invariants_hold_in_every_state():
     result = check_safety(pool_model(), MAX_STATES)
@@ -33,9 +37,18 @@
     assert result["reachable_states"] > 10_000
 
 
+def test_invariants_hold_if_a_minion_starts_again_under_its_id():
+    result = check_safety(pool_model(restarts=1), MAX_STATES)
+    print(f"{result['reachable_states']} states explored")
+    assert result["exhaustive"]
+    held = {name: found["holds"] for name, found in result["properties"].items()}
+    assert held == dict.fromkeys(POOL_INVARIANTS, True)
+    assert result["reachable_states"] > 10_000
+
+
 @pytest.mark.parametrize(("variant", "broken"), BROKEN.items(), ids=str)
 def test_broken_variant_is_refuted(variant, broken):
-    result = check_safety(pool_model(variant), MAX_STATES)
+    result = check_safety(pool_model(variant, RESTARTS.get(variant)), MAX_STATES)
     assert result["properties"][broken]["holds"] is False
 
 
