--- a/tests/pool/restart_orders.py
+++ b/tests/pool/restart_orders.py
@@ -143,7 +143,7 @@
         random = self.random
         for _ in range(random.randint(1, 3)):
             await self.pool.clock.sleep(ms(random.randint(0, 500)))
-            minion_id = random.choice(sorted(self.pool.stand_ins))
+            minion_id = random.choice(self._used_minions())
             stand_in = self.pool.stand_ins[minion_id]
             if random.random() < 0.5:
                 # The owner does not hear of the restart for a while.
@@ -154,6 +154,11 @@
             stand_in.restart(self.born, random.choice((0, 50, 100_000)))
             self.restarts += 1
 
+    def _used_minions(self):
+        """Return the minions with runs by the owner's account, or else all."""
+        used = [m.entry.id for m in self.owners[-1].minions if m.runs]
+        return used or sorted(self.pool.stand_ins)
+
     async def _cut(self, calls, minion_id):
         calls.cut.add(minion_id)
         await self.pool.clock.sleep(ms(self.random.choice((20, 200, 900, 2_500))))
--- a/tests/pool/test_restart_orders.py
+++ b/tests/pool/test_restart_orders.py
@@ -12,7 +12,7 @@
 # More seeds are run by hand.
 ORDER_COUNT = int(os.environ.get("RESTART_ORDERS", "150"))
 GROUP_COUNT = 10
-DURATIONS = (60, 250, 900)
+DURATIONS = (60, 400, 2_000)
 
 
 # Guards against second runs, and ends lost or counted twice, when a minion starts again
