Give learned values an age and a count, and let an owner adopt them

Cause: speeds of minions, ratios of queues and the mean task size died with each tenure, and each data centre learned alone.

Durations and TaskSize export plain data (ratio, count, time of the last run) and adopt it. What to report, how to read, keep, fade and merge it are functions of plain data with the time passed in.

An adopted value is corrected by up to 35% of the logarithm of its error in each of its first ten runs, less if the error is small.

--- a/src/brasstray/peer/message/pool_state.py
+++ b/src/brasstray/peer/message/pool_state.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import msgspec
 
 from brasstray.batch.evacuation_set import UNREAD_EVACUATIONS, EvacuationSet
@@ -22,6 +24,10 @@
     `contact_age_ms` is the age of the oldest last contact between the owner and the
     coordinator of any run in the pool. It is counted from when this state was created,
     so at the earliest from the heartbeat whose `sent_ms` is `acknowledged_ms`.
+
+    `learned` is what the owner has learned about queues since its last report, in the
+    encoding of pool/learned_encoding.py. It is not typed here, as an invalid value must
+    not close the connection.
     """
 
     incarnation: IncarnationId
@@ -35,6 +41,7 @@
     evacuations: EvacuationSet = UNREAD_EVACUATIONS
     contact_age_ms: int | None = None
     acknowledged_ms: int | None = None
+    learned: Any = None
 
 
 __all__ = ["PoolState"]
--- a/src/brasstray/pool/durations.py
+++ b/src/brasstray/pool/durations.py
@@ -5,15 +5,21 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from brasstray.pool.learned_merge import merge_remote
+from brasstray.pool.learned_values import LearnedValues
+from brasstray.pool.moving_ratio import MAX_RATIO, MovingRatio, adopted
+
 if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
     from brasstray.job.ids import MinionKey
+    from brasstray.pool.learned_values import LearnedValue
     from brasstray.pool.step_tasks import StepTasks
 
 # Weight of one run in the moving averages.
 SMOOTHING_FACTOR = 0.1
-# A run counts as at most this multiple of its expected duration, so that a hung run
-# does not make its minion or queue look slow for long.
-MAX_RATIO = 4.0
+# Part of an error that the queue corrects; the minion corrects it as well.
+QUEUE_SHARE = 0.5
 MIN_EXPECTED_DURATION = timedelta(milliseconds=5)
 
 
@@ -21,13 +27,26 @@
     """Learn the ratio of actual durations to the callers' estimates.
 
     `remote_factor` is the factor by which a task is slower on a minion outside the rack
-    of its data.
+    of its data. `now` returns the monotonic time at which runs are observed.
     """
 
-    def __init__(self, remote_factor: float) -> None:
+    def __init__(
+        self,
+        remote_factor: float,
+        now: Callable[[], timedelta] = lambda: timedelta(0),
+    ) -> None:
         self._remote_factor = remote_factor
-        self._by_queue: dict[str, float] = {}
-        self._by_minion: dict[MinionKey, float] = {}
+        self._now = now
+        self._by_queue: dict[str, MovingRatio] = {}
+        self._by_minion: dict[str, MovingRatio] = {}
+
+    @property
+    def learned(self) -> LearnedValues:
+        """Return the ratios of queues and minions, with their counts and ages."""
+        return LearnedValues(
+            {key: mean.value for key, mean in self._by_minion.items()},
+            {name: mean.value for name, mean in self._by_queue.items()},
+        )
 
     def expected(
         self, step: StepTasks, minion: MinionKey | None, labels: tuple[str, ...]
@@ -44,7 +63,8 @@
         self, step: StepTasks, minion: MinionKey | None, labels: tuple[str, ...]
     ) -> float:
         """Return the ratio of expected to estimated duration of `step` on `minion`."""
-        ratio = self._by_queue.get(step.queue, 1.0)
+        queue = self._by_queue.get(step.queue)
+        ratio = 1.0 if queue is None else queue.ratio
         if minion is not None:
             ratio *= self.slowness(minion)
         if step.rack and labels and step.rack not in labels:
@@ -53,21 +73,45 @@
 
     def slowness(self, minion: MinionKey) -> float:
         """Return the ratio of durations on `minion` to those on a typical minion."""
-        return self._by_minion.get(minion, 1.0)
+        mean = self._by_minion.get(minion)
+        return 1.0 if mean is None else mean.ratio
 
     def learn(
         self, step: StepTasks, minion: MinionKey, expected: timedelta, took: timedelta
     ) -> None:
         """Record that a run on `minion` took `took` instead of `expected`."""
-        ratio = min(took / expected, MAX_RATIO)
-        queue = self._by_queue.get(step.queue, 1.0)
-        self._by_queue[step.queue] = queue * (1 + SMOOTHING_FACTOR / 2 * (ratio - 1))
-        slowness = self.slowness(minion)
-        self._by_minion[minion] = slowness * (1 + SMOOTHING_FACTOR * (ratio - 1))
+        observed, now = took / expected, self._now()
+        queue = self._by_queue.setdefault(step.queue, MovingRatio())
+        queue.observe(observed, SMOOTHING_FACTOR * QUEUE_SHARE, now, QUEUE_SHARE)
+        mean = self._by_minion.setdefault(minion, MovingRatio())
+        mean.observe(observed, SMOOTHING_FACTOR, now)
 
     def forget(self, minion: MinionKey) -> None:
         """Drop what was learned about a minion that is gone."""
         self._by_minion.pop(minion, None)
 
+    def adopt(self, values: LearnedValues) -> None:
+        """Start from what earlier owners of the pool have learned."""
+        for means, found in (
+            (self._by_minion, values.minions),
+            (self._by_queue, values.queues),
+        ):
+            means.update((key, adopted(value)) for key, value in found.items())
+
+    def adopt_remote(self, queues: Mapping[str, LearnedValue]) -> list[LearnedValue]:
+        """Use what other data centres have learned where little is known here.
 
-__all__ = ["Durations"]
+        Return the values that were used.
+        """
+        used = []
+        for queue, remote in queues.items():
+            own = self._by_queue.get(queue)
+            value = None if own is None else own.value
+            merged = merge_remote(value, remote, self._now())
+            if merged is not None:
+                self._by_queue[queue] = adopted(merged)
+                used.append(remote)
+        return used
+
+
+__all__ = ["MAX_RATIO", "Durations"]
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -24,6 +25,7 @@
 from brasstray.pool.run_record import RunState
 from brasstray.pool.run_tracker import RunTracker
 from brasstray.pool.task_registry import TaskRegistry
+from brasstray.pool.task_size import TaskSize
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
@@ -34,6 +36,7 @@
     from brasstray.clock.clock import Clock
     from brasstray.peer.message.run_tasks import RunTasks
     from brasstray.pool.errors import StartRefusal
+    from brasstray.pool.learned_values import LearnedValue, LearnedValues
     from brasstray.pool.lease_snapshot import LeaseSnapshot
     from brasstray.pool.minion import Minion
     from brasstray.pool.minion_calls import MinionCalls
@@ -81,7 +84,7 @@
         self._events = events
         self._confirm_ownership = confirm_ownership
         self._inherited = list(inherited or ())
-        self._durations = Durations(remote_factor)
+        self._durations = Durations(remote_factor, clock.monotonic)
         self._roster = Roster(clock, timing, self._open_session, self._forget_minion)
         self._health_monitor = HealthMonitor(lambda: self.minions, events)
         self._tasks = TaskRegistry(clock, events)
@@ -122,6 +125,7 @@
             events,
             evacuated,
         )
+        self._task_size = TaskSize(self._sharing.observe_demand, clock.monotonic)
         self._lag = LoopLag()
         self._first_call_limiter = anyio.Semaphore(MAX_CONCURRENT_FIRST_CALLS)
         self._group: TaskGroup | None = None
@@ -194,6 +198,23 @@
         """Stop owning the pool, as a minion has seen a higher token."""
         self._deposed.set()
 
+    # Learned values
+
+    @property
+    def learned(self) -> LearnedValues:
+        """Return what this owner has learned or adopted."""
+        return replace(self._durations.learned, sizes=self._task_size.learned)
+
+    def adopt(self, values: LearnedValues) -> None:
+        """Start from what earlier owners learned; call this before `run`."""
+        self._durations.adopt(values)
+        self._task_size.adopt(values.sizes)
+
+    def adopt_remote(self, values: LearnedValues) -> list[LearnedValue]:
+        """Use what other data centres learned where little is known here; return it."""
+        used = self._durations.adopt_remote(values.queues)
+        return used + self._task_size.adopt(values.sizes)
+
     # Membership
 
     def update_minions(self, entries: Iterable[MinionEntry]) -> None:
@@ -247,7 +268,7 @@
         if message.claimed:
             for session in self._roster.sessions:
                 session.renew_if_unlimited()
-        self._sharing.observe_demand(step.needs)
+        self._task_size.observe(step.needs)
         self._tasks.forget_if_empty(step)
         self.review()
 
--- /dev/null
+++ b/src/brasstray/pool/task_size.py
@@ -0,0 +1,65 @@
+"""Learn how much CPU a typical task needs."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from brasstray.batch.resources import Resources
+from brasstray.pool.learned_values import TASK_CPU
+from brasstray.pool.load_sharing import DEFAULT_TASK_CPU_MILLIS, TASK_SIZE_SMOOTHING
+from brasstray.pool.moving_ratio import MovingRatio, adopted
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+    from datetime import timedelta
+
+    from brasstray.pool.learned_values import LearnedValue
+
+# During the probation of an adopted mean, a request counts as many: a wrong mean must
+# be corrected by about ten of them.
+PROBATION_WEIGHT = 8
+
+
+class TaskSize:
+    """Average the CPU of requested tasks; `observe` passes each request on.
+
+    `observe` is called several times for a request that corrects an adopted mean.
+    """
+
+    def __init__(
+        self, observe: Callable[[Resources], None], now: Callable[[], timedelta]
+    ) -> None:
+        self._observe = observe
+        self._now = now
+        self._mean: MovingRatio | None = None
+
+    @property
+    def learned(self) -> dict[str, LearnedValue]:
+        """Return the mean in multiples of the default, if there is one."""
+        return {} if self._mean is None else {TASK_CPU: self._mean.value}
+
+    def observe(self, needs: Resources) -> None:
+        """Update the average with the resources of a requested task."""
+        size = max(1, needs.cpu_millis) / DEFAULT_TASK_CPU_MILLIS
+        if self._mean is None:
+            self._mean = MovingRatio(size)
+        repeats = 1
+        if self._mean.probation:
+            self._mean.probation -= 1
+            repeats = PROBATION_WEIGHT
+        for _ in range(repeats):
+            self._mean.ratio += TASK_SIZE_SMOOTHING * (size - self._mean.ratio)
+            self._observe(needs)
+        self._mean.record(self._now())
+
+    def adopt(self, sizes: Mapping[str, LearnedValue]) -> list[LearnedValue]:
+        """Start from a mean learned elsewhere if there is none; return it if used."""
+        value = sizes.get(TASK_CPU)
+        if value is None or self._mean is not None:
+            return []
+        self._mean = adopted(value)
+        self._observe(Resources(round(value.ratio * DEFAULT_TASK_CPU_MILLIS)))
+        return [value]
+
+
+__all__ = ["TaskSize"]
