Pass learned values on to successors and to owners of other pools

Cause: a new owner placed as if all minions were alike, and each data centre learned the ratios of its queues alone.

The owner reports what differs from the default by 10% to its three successors (minions, queues, task size; in Successors) and to owners of other pools (queues and task size; in PoolState): when a link opens, and then changes, at most once in 2 s on a link. Only an owner has the timer. A report under an older token is ignored, and each invalid value is left out, counted and logged.

Not covered by the test: a steady load without a burst before it, in which the owner tried slow minions first and most fast ones never.

--- a/measure/__main__.py
+++ b/measure/__main__.py
@@ -19,6 +19,7 @@
     "idle_cpu",
     "capacity",
     "log_cost",
+    "learned_values",
 )
 
 
--- a/src/brasstray/host/event_log.py
+++ b/src/brasstray/host/event_log.py
@@ -277,13 +277,18 @@
 
     def entry_ignored(self, name: str, reason: str) -> None:
         """Record an ignored entry of the store; log it when the reason changes."""
+        if self._note_reason(name, reason):
+            self._metrics.count_reason("entry_ignored")
+            log_message("brasstray:entry_ignored", name=name, reason=reason[:200])
+
+    def _note_reason(self, name: str, reason: str) -> bool:
+        """Return whether `reason` differs from the last one for `name`."""
         if self._ignored_reasons.get(name) == reason:
-            return
+            return False
         if len(self._ignored_reasons) >= MAX_IGNORED_ENTRIES:
             self._ignored_reasons.clear()
         self._ignored_reasons[name] = reason
-        self._metrics.count_reason("entry_ignored")
-        log_message("brasstray:entry_ignored", name=name, reason=reason[:200])
+        return True
 
     def history_lost(self, name: str) -> None:
         """Record that the store has discarded its history and is read in full."""
@@ -340,6 +345,27 @@
         """Record that the owner of a pool is unreachable."""
         log_message("brasstray:owner_lost", pool=pool, host=host, reason=reason)
 
+    def values_adopted(self, source: str, count: int, oldest_age: timedelta) -> None:
+        """Record that the owner here uses values that another one has learned."""
+        self._metrics.count_reason("values_adopted")
+        log_message(
+            "brasstray:values_adopted",
+            source=source,
+            values=count,
+            oldest_ms=oldest_age // _MILLISECOND,
+        )
+
+    def values_ignored(self, source: str, count: int, reason: str) -> None:
+        """Record ignored values of a host; log them when the reason changes."""
+        self._metrics.count_reason("values_ignored")
+        if self._note_reason(f"values of {source}", reason):
+            log_message(
+                "brasstray:values_ignored",
+                source=source,
+                values=count,
+                reason=reason[:200],
+            )
+
     def requester_reached(self, host: str) -> None:
         """Record that a host has opened a link to this one."""
         log_message("brasstray:requester_reached", host=host)
--- a/src/brasstray/host/host_events.py
+++ b/src/brasstray/host/host_events.py
@@ -83,6 +83,12 @@
     def owner_lost(self, pool: PoolId, host: str, reason: str) -> None:
         """Record that the owner of a pool is unreachable."""
 
+    def values_adopted(self, source: str, count: int, oldest_age: timedelta) -> None:
+        """Record that the owner here uses values that another one has learned."""
+
+    def values_ignored(self, source: str, count: int, reason: str) -> None:
+        """Record that values reported by a host are not used."""
+
     def requester_reached(self, host: str) -> None:
         """Record that a host has opened a link to this one."""
 
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -12,6 +12,7 @@
 from brasstray.batch.outcome import BatchOutcome, BatchResult, GiveUpReason
 from brasstray.coordinator.coordinator import Coordinator, critical_path
 from brasstray.host.coordinator_contact import CoordinatorContact
+from brasstray.host.learned_feed import LearnedFeed
 from brasstray.host.load_notifier import LoadNotifier
 from brasstray.host.local_requester import LocalRequester
 from brasstray.host.minion_feed import MinionFeed
@@ -100,6 +101,15 @@
             lambda pool, sent: self._coordinator.claim(pool, sent),
             lambda pool: self._coordinator.has_tasks_at(pool),
         )
+        self._learned = LearnedFeed(
+            self._pool,
+            identity.host,
+            self._directory,
+            self._requesters,
+            self._state,
+            clock,
+            events,
+        )
         self._coordinator = Coordinator(
             self._pool, self._directory, clock, timing.coordinator, events
         )
@@ -318,6 +328,7 @@
             lambda: self._evacuations.is_evacuated(self._pool),
             contact_age,
         )
+        self._learned.start_tenure(owner, self._minion_feed.last_known_minions)
         self._events.pool_taken(self._pool, owned.token, "claimed", contact_age)
         self._handover.start_tenure()
         self._owner_scope = anyio.CancelScope()
@@ -330,6 +341,7 @@
         with scope:
             async with anyio.create_task_group() as group:
                 group.start_soon(self._minion_feed.poll, owner)
+                group.start_soon(self._learned.run)
                 await owner.run()
                 group.cancel_scope.cancel()
         if owner is self._owner and owner.deposed:
@@ -341,6 +353,7 @@
 
     def _stop_owner(self, reason: str) -> None:
         self._handover.end_tenure()
+        self._learned.end_tenure()
         owner, self._owner = self._owner, None
         if owner is None or self._owner_scope is None:
             return
@@ -411,6 +424,7 @@
                 if self._owner is not None:
                     self._minion_feed.send_minions(link)
                     self._requesters.announce_successors()
+                    self._learned.report_to(link)
                 self._operator_state.handle_heartbeat(link.name, message, link.send)
             case Ping():
                 link.record_ping(message)
@@ -447,12 +461,15 @@
                 self._directory.reset_reserved_slots(pool)
                 if self._is_from_current_owner(message):
                     self._contact.record_state(message)
+                if message.pool == pool:
+                    self._learned.receive(pool, message.token, message.learned)
                 if message.free_slots and self._owner is not None:
                     self._owner.review()
                 send = partial(self._directory.send, pool)
                 self._operator_state.handle_heartbeat(str(pool), message, send)
             case Successors() if pool == self._pool:
                 self._succession.set_successors(message.hosts)
+                self._learned.receive(pool, message.token, message.learned)
             case PoolMinions() if pool == self._pool:
                 self._minion_feed.record_minions(message.minions)
             case ConfigWanted() | ConfigPart():
