Tell long tasks from slow minions

A run that was far slower than expected was stopped and its minion suspended, whatever the cause. Tasks that are themselves long were so begun again for nothing, and each cost its minion for a second or more.

The cause is now judged from the run's pace, its siblings, and the other runs on its minion. A long task continues. A slow minion is also found when its pace falls in the middle of its runs, by the same comparison. Where nothing tells, the expected gain decides, weighted with how such cases came out.

Ruled out: raising the thresholds (a slow minion is found later for it), and never stopping what moves (runs stay on a minion that is slower by ten).

--- a/src/brasstray/host/event_log.py
+++ b/src/brasstray/host/event_log.py
@@ -23,6 +23,7 @@
     from brasstray.pool.minion_health import Evidence
     from brasstray.pool.pool_task import TaskPhase
     from brasstray.pool.run_record import RunRecord
+    from brasstray.pool.run_verdict import RunVerdict
     from brasstray.pool.step_tasks import StepTasks
 
 _MILLISECOND = timedelta(milliseconds=1)
@@ -173,6 +174,29 @@
             contact_age_ms=contact_age // _MILLISECOND,
         )
 
+    def straggler_stopped(
+        self, minion: Minion, record: RunRecord, reason: RunVerdict
+    ) -> None:
+        """Record that a run is stopped so that its task begins again elsewhere."""
+        self._metrics.count_reason(f"straggler_{reason.value}")
+        log_message(
+            "brasstray:straggler_stopped",
+            **_run_fields(minion, record),
+            reason=reason.value,
+            percent=record.percent,
+            expected_ms=record.expected // _MILLISECOND,
+        )
+
+    def long_task(self, minion: Minion, record: RunRecord) -> None:
+        """Record that a run is slow because its task is long."""
+        self._metrics.count_reason("long_task")
+        log_message(
+            "brasstray:long_task",
+            **_run_fields(minion, record),
+            percent=record.percent,
+            expected_ms=record.expected // _MILLISECOND,
+        )
+
     def suspected(self, minion: Minion, reason: Evidence) -> None:
         """Record that a minion is suspected and gets no tasks for a while."""
         self._metrics.count_reason(f"suspected_{reason.value}")
--- a/src/brasstray/pool/health_monitor.py
+++ b/src/brasstray/pool/health_monitor.py
@@ -5,10 +5,18 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from brasstray.pool.long_share import LongShare
 from brasstray.pool.minion import Reachability
 from brasstray.pool.minion_health import Evidence
+from brasstray.pool.neighbours import neighbours_of
 from brasstray.pool.run_record import RunState
-from brasstray.pool.straggling import SIBLINGS_TIMEOUT, is_straggler, slowdown
+from brasstray.pool.run_verdict import RunVerdict
+from brasstray.pool.straggling import (
+    MAX_SLOWDOWN_VS_SIBLINGS,
+    SIBLINGS_TIMEOUT,
+    judge,
+    slowdown,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -39,11 +47,13 @@
         self._minions = minions
         self._events = events
         self._recent_returns: list[timedelta] = []
+        self._long_share = LongShare()
 
     def should_stop(self, minion: Minion, record: RunRecord, now: timedelta) -> bool:
         """Return whether a run is so slow that its task is better run elsewhere.
 
-        The minion is suspected then, and avoided by that task.
+        The minion is then avoided by that task, and suspected unless its other runs go
+        on as usual.
         """
         task = record.task
         if task is None or record.state is not RunState.ACTIVE or not record.expected:
@@ -60,15 +70,35 @@
             return False
         # A task is restarted as a straggler only once: if it is as slow elsewhere, it
         # is the task that is long and not the minions that are slow.
-        if task.straggled or not is_straggler(record, now, siblings):
+        if task.straggled:
             return False
+        neighbours = neighbours_of(record, minion, now)
+        verdict = judge(record, now, siblings, neighbours, self._long_share.value)
+        match verdict:
+            case RunVerdict.USUAL:
+                return False
+            case RunVerdict.LONG_TASK:
+                self._note_long(minion, record, certain=neighbours.usual)
+                return False
         task.straggled = True
         task.avoided.add(minion_key)
-        if not minion.health.suspected:
-            minion.health.suspend(now)
-            self._events.suspected(minion, Evidence.STRAGGLING)
+        self._events.straggler_stopped(minion, record, verdict)
+        # Where other runs go on as usual, only the one that is stuck is at fault.
+        if not neighbours.usual:
+            minion.health.found_slow = True
+            if not minion.health.suspected:
+                minion.health.suspend(now)
+                self._events.suspected(minion, Evidence.STRAGGLING)
         return True
 
+    def _note_long(self, minion: Minion, record: RunRecord, *, certain: bool) -> None:
+        if record.long_task:
+            return
+        record.long_task = True
+        if certain:
+            self._long_share.record(long=True)
+        self._events.long_task(minion, record)
+
     def _awaiting_siblings(self, record: RunRecord, now: timedelta) -> bool:
         """Return whether tasks of the same step elsewhere will soon show progress."""
         if now - record.began > SIBLINGS_TIMEOUT:
@@ -78,10 +108,19 @@
             return False
         return sum(m.has_task_of(record.task.parent_step) for m in self._minions()) > 1
 
-    def record_done(self, minion: Minion) -> None:
+    def record_done(self, minion: Minion, record: RunRecord, now: timedelta) -> None:
         """Record that a run on `minion` ended well."""
         if minion.health.record_success():
             self._events.trusted(minion)
+        if not record.expected or record.cold:
+            return
+        usual = now - record.began <= record.expected * MAX_SLOWDOWN_VS_SIBLINGS
+        if usual:
+            minion.health.usual_run_ended = now
+            minion.health.found_slow = False
+        if record.task is not None and record.task.straggled:
+            # The second run shows whether the first one was slow for its minion.
+            self._long_share.record(long=not usual)
 
     def record_failed(self, minion: Minion, task: PoolTask, now: timedelta) -> None:
         """Record that a run of `task` failed on `minion`."""
--- a/src/brasstray/pool/minion_health.py
+++ b/src/brasstray/pool/minion_health.py
@@ -30,6 +30,8 @@
 
     A suspended minion gets no tasks. After the suspension it gets one task at a time
     until a run succeeds; if one does not, it is suspended for twice as long.
+    `usual_run_ended` is when a run ended last that took about as long as expected;
+    `found_slow`, whether a run was stopped since, as the minion was slow.
     """
 
     def __init__(self) -> None:
@@ -37,6 +39,8 @@
         self._suspended_for_failures = False
         self._suspension = timedelta()
         self._suspended_until: timedelta | None = None
+        self.usual_run_ended: timedelta | None = None
+        self.found_slow = False
 
     @property
     def suspected(self) -> bool:
--- a/src/brasstray/pool/owner_events.py
+++ b/src/brasstray/pool/owner_events.py
@@ -15,6 +15,7 @@
     from brasstray.pool.pool_task import TaskPhase
     from brasstray.pool.probe_reply import RunEnd
     from brasstray.pool.run_record import RunRecord
+    from brasstray.pool.run_verdict import RunVerdict
     from brasstray.pool.step_tasks import StepTasks
 
 
@@ -72,6 +73,14 @@
         Its coordinator was last heard `contact_age` ago, or has cancelled it then.
         """
 
+    def straggler_stopped(
+        self, minion: Minion, record: RunRecord, reason: RunVerdict
+    ) -> None:
+        """A run is stopped, and its task begins again elsewhere."""
+
+    def long_task(self, minion: Minion, record: RunRecord) -> None:
+        """A run is slow because its task is long; it continues."""
+
     def suspected(self, minion: Minion, reason: Evidence) -> None:
         """A minion was suspended and gets no tasks for a while."""
 
--- a/src/brasstray/pool/run_record.py
+++ b/src/brasstray/pool/run_record.py
@@ -2,11 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from enum import Enum
 from typing import TYPE_CHECKING
 
+from brasstray.pool.run_progress import RunProgress
+
 if TYPE_CHECKING:
     from brasstray.batch.ids import RunNumber
     from brasstray.batch.resources import Resources
@@ -34,7 +36,8 @@
     one that is no longer wanted. `size_known` is false for a run of a previous owner
     until it is claimed, as only its requester knows what it uses. `cold` marks a run
     that began while its minion was warming up. `orphan_contact` is the last contact
-    with the coordinator of a run without a task, or an earlier time.
+    with the coordinator of a run without a task, or an earlier time. `long_task` marks
+    a run whose task was recognised as long.
     """
 
     name: TaskName
@@ -48,6 +51,17 @@
     size_known: bool = True
     cold: bool = False
     orphan_contact: timedelta = timedelta(0)
+    long_task: bool = False
+    progress: RunProgress = field(init=False, repr=False)
+
+    def __post_init__(self) -> None:
+        """Begin the record of the progress."""
+        self.progress = RunProgress(self.began)
+
+    def report(self, percent: int, now: timedelta) -> None:
+        """Record that the minion reported `percent` at `now`."""
+        self.percent = percent
+        self.progress.observe(percent, now)
 
     @property
     def last_contact(self) -> timedelta:
--- a/src/brasstray/pool/run_tracker.py
+++ b/src/brasstray/pool/run_tracker.py
@@ -84,7 +84,7 @@
     def _apply_active(self, minion: Minion, run: ActiveRun) -> None:
         record = minion.runs.get((run.task, run.run))
         if record is not None:
-            record.percent = run.percent
+            record.report(run.percent, self._clock.monotonic())
             if record.state in (RunState.STARTING, RunState.OUTCOME_UNKNOWN):
                 record.state = RunState.ACTIVE
         elif not minion.has_ended(run.task, run.run):
@@ -120,7 +120,7 @@
     def _apply_end(self, minion: Minion, record: RunRecord, end: RunEnd) -> None:
         minion.remove(record)
         if end is RunEnd.DONE:
-            self._health_monitor.record_done(minion)
+            self._health_monitor.record_done(minion, record, self._clock.monotonic())
         self._handle_end(minion, record, end)
 
     def _handle_end(self, minion: Minion, record: RunRecord, end: RunEnd) -> None:
--- a/src/brasstray/pool/straggling.py
+++ b/src/brasstray/pool/straggling.py
@@ -5,7 +5,11 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from brasstray.pool.run_progress import PACE_WINDOW
+from brasstray.pool.run_verdict import RunVerdict
+
 if TYPE_CHECKING:
+    from brasstray.pool.neighbours import Neighbours
     from brasstray.pool.run_record import RunRecord
 
 # Above the error of estimates and the differences between healthy minions combined.
@@ -18,6 +22,8 @@
 SIBLINGS_TIMEOUT = timedelta(milliseconds=350)
 # The remaining time of the run must exceed a whole new run by this factor.
 MIN_RESTART_GAIN = 1.2
+# At a lower pace, in multiples of the usual duration, no answer would still be of use.
+STUCK_SLOWDOWN = 20.0
 
 
 def is_straggler(record: RunRecord, now: timedelta, siblings: float | None) -> bool:
@@ -48,4 +54,81 @@
     return projected / record.expected
 
 
-__all__ = ["SIBLINGS_TIMEOUT", "is_straggler", "slowdown"]
+def recent_slowdown(record: RunRecord, now: timedelta) -> float | None:
+    """Return the slowdown that the pace of the last moments means, None if unknown."""
+    mark = record.progress.recent
+    if not record.expected or now - mark.at < PACE_WINDOW:
+        return None
+    moved = record.percent - mark.percent + 1
+    return (now - mark.at) * 100 / moved / record.expected
+
+
+def is_stuck(record: RunRecord, now: timedelta) -> bool:
+    """Return whether `record` has not moved where even a long task would have."""
+    unmoved = now - record.progress.moved_at
+    least = record.expected * STUCK_SLOWDOWN / 100
+    return unmoved >= max(MIN_OBSERVATION, least)
+
+
+def judge(
+    record: RunRecord,
+    now: timedelta,
+    siblings: float | None,
+    neighbours: Neighbours,
+    long_share: float,
+) -> RunVerdict:
+    """Return why `record` is slow, and so whether its task should begin again.
+
+    `long_share` is how likely the task itself is long, where nothing else tells.
+    """
+    if _turned_slow(record, now, siblings, neighbours):
+        return RunVerdict.SLOW_MINION
+    if not is_straggler(record, now, siblings):
+        return RunVerdict.USUAL
+    if is_stuck(record, now):
+        return RunVerdict.STUCK
+    if record.long_task:
+        # Its pace is what it was when other runs showed a sound minion.
+        return RunVerdict.LONG_TASK
+    if neighbours.slow:
+        return RunVerdict.SLOW_MINION
+    if neighbours.usual or not _gains(record, now, siblings, long_share):
+        return RunVerdict.LONG_TASK
+    return RunVerdict.SLOW_MINION
+
+
+def _turned_slow(
+    record: RunRecord, now: timedelta, siblings: float | None, neighbours: Neighbours
+) -> bool:
+    """Return whether the minion has become slow in the middle of its runs."""
+    recent = recent_slowdown(record, now)
+    mark = record.progress.recent
+    if recent is None or mark.at - record.began < PACE_WINDOW or not neighbours.slow:
+        return False
+    before = (mark.at - record.began) * 100 / max(1, mark.percent) / record.expected
+    if recent <= before * MAX_SLOWDOWN_VS_SIBLINGS:
+        return False
+    remaining = record.expected * recent * (99 - record.percent) / 100
+    elsewhere = max(before, siblings or 0.0)
+    return remaining > record.expected * elsewhere * MIN_RESTART_GAIN
+
+
+def _gains(
+    record: RunRecord, now: timedelta, siblings: float | None, long_share: float
+) -> bool:
+    """Return whether the task would probably end sooner if it began elsewhere."""
+    ratio = slowdown(record, now)
+    remaining = record.expected * ratio - (now - record.began)
+    elsewhere = long_share * ratio + (1 - long_share) * (siblings or 1.0)
+    return remaining > record.expected * elsewhere * MIN_RESTART_GAIN
+
+
+__all__ = [
+    "MAX_SLOWDOWN_VS_SIBLINGS",
+    "SIBLINGS_TIMEOUT",
+    "is_straggler",
+    "is_stuck",
+    "judge",
+    "recent_slowdown",
+    "slowdown",
+]
--- a/src/brasstray_standins/leased_minion.py
+++ b/src/brasstray_standins/leased_minion.py
@@ -40,6 +40,7 @@
     work: timedelta
     remaining: timedelta
     updated_at: timedelta
+    began: timedelta
     fails: bool
     stopped_at: timedelta | None = None
 
@@ -62,6 +63,15 @@
     at: timedelta
 
 
+@dataclass(frozen=True)
+class RecordedEnd:
+    """Record how long a run used its minion, and whether its work was lost."""
+
+    minion: MinionEntry
+    took: timedelta
+    stopped: bool
+
+
 @dataclass
 class RunRecorder:
     """Record the runs of all minions, to detect violated guarantees.
@@ -74,6 +84,7 @@
     work_by_task: dict[TaskName, Work] = field(default_factory=dict)
     active: dict[TaskName, list[str]] = field(default_factory=dict)
     recorded_starts: list[RecordedStart] = field(default_factory=list)
+    recorded_ends: list[RecordedEnd] = field(default_factory=list)
     broken: list[str] = field(default_factory=list)
 
     @property
@@ -161,6 +172,10 @@
 
     def _end(self, run: SimulatedRun, end: RunEnd) -> None:
         self._remove_run(run)
+        took = self._clock.monotonic() - run.began
+        self._recorder.recorded_ends.append(
+            RecordedEnd(self.entry, took, end is not RunEnd.DONE)
+        )
         self._end_count += 1
         self._ends.append(EndedRun(self._end_count, run.task, run.run, end))
         self._run_ended.set()
@@ -236,6 +251,7 @@
             work.duration,
             work.duration,
             now,
+            now,
             work.fails or self.failing,
         )
         self._check_capacity()
@@ -278,6 +294,7 @@
 
 __all__ = [
     "LeasedMinion",
+    "RecordedEnd",
     "RecordedStart",
     "RunRecorder",
     "SimulatedRun",
--- a/src/brasstray_standins/pool_system.py
+++ b/src/brasstray_standins/pool_system.py
@@ -54,6 +54,7 @@
 STRONG_HOST_LINK_FACTOR = 8.0
 TASK_NEEDS = Resources(6_800, 64)
 TASK_DURATION = timedelta(milliseconds=60)
+STRETCH = 1.6
 
 
 @dataclass(frozen=True)
@@ -63,7 +64,7 @@
     The first `strong_each` hosts of each data centre have four times the power and
     links eight times as fast. `link_rate` is the bandwidth of every other host's link
     in bytes per second each way. The clocks of minions run at `minion_clock_rate`
-    times the true rate.
+    times the true rate. `slowdowns` repeats over the minions of a data centre.
     """
 
     data_centres: int = 2
@@ -73,6 +74,7 @@
     capacity: Resources = Resources(16_000, 32_768)
     link_rate: float | None = None
     minion_clock_rate: float = 1.0
+    slowdowns: tuple[float, ...] = (1.0,)
 
 
 class _StoreOperatorSource:
@@ -161,7 +163,14 @@
 def make_queue() -> Queue:
     """Return the queue of all jobs in a simulated system."""
     return Queue(
-        QueueName("saldo"), "h", "/q/", SERVICE, 0, 3, 1.6, timedelta(milliseconds=60)
+        QueueName("saldo"),
+        "h",
+        "/q/",
+        SERVICE,
+        0,
+        3,
+        STRETCH,
+        timedelta(milliseconds=60),
     )
 
 
@@ -191,7 +200,8 @@
         self.centres = [f"dc{n}" for n in range(self.size.data_centres)]
         for centre in self.centres:
             for number in range(self.size.minions_each):
-                self.add_minion(f"{centre}-m{number}", centre)
+                minion = self.add_minion(f"{centre}-m{number}", centre)
+                minion.slowdown = self.size.slowdowns[number % len(self.size.slowdowns)]
         self.set_config(1)
         self.group.start_soon(
             tick_all, lambda: list(self.minions.values()), self.clock, TICK
@@ -341,6 +351,7 @@
 
 __all__ = [
     "CONFIG_KEY",
+    "STRETCH",
     "TASK_DURATION",
     "TASK_NEEDS",
     "PoolSystem",
