Start tasks where they end in time on uneven minions

Tasks started on the fastest minion with room, so that long tasks found only slow ones, on which they are late for that alone. Where a pool's minions differ by more than objectives leave, a task now starts on a slow minion if it ends in time there, else where it ends first, and waits for a faster minion if it ends sooner so. An even pool is placed as before, which a test compares.

--- a/src/brasstray/pool/dispatcher.py
+++ b/src/brasstray/pool/dispatcher.py
@@ -8,6 +8,7 @@
 import anyio
 
 from brasstray.batch.ids import RunNumber
+from brasstray.pool.outlook import Outlook
 from brasstray.pool.placement import choose_minion, urgency
 from brasstray.pool.pool_load import PoolLoad
 from brasstray.pool.pool_task import TaskPhase
@@ -64,6 +65,7 @@
         self._wake = anyio.Event()
         self._changed = anyio.Event()
         self._review_due = False
+        self._outlook: tuple[list[Minion], Outlook] | None = None
         self._load = PoolLoad()
         self._load_valid_until = timedelta(0)
 
@@ -136,13 +138,27 @@
     def _start_tasks(
         self, step: StepTasks, minions: list[Minion], now: timedelta
     ) -> None:
+        outlook = self._outlook_for(minions, now)
+        awaiting = []
         while step.waiting:
-            task = step.waiting[0]
-            minion = choose_minion(task, minions, self._durations, now)
-            if minion is None:
-                return
+            task, reserved = step.waiting[0], outlook.reservations
+            minion = choose_minion(task, minions, self._durations, now, outlook)
+            if minion is None and outlook.reservations == reserved:
+                break
             step.waiting.pop(0)
-            self._place(task, minion, now)
+            if minion is None:
+                # The next task may still be started: this one awaits a better minion.
+                awaiting.append(task)
+            else:
+                self._place(task, minion, now)
+        step.waiting[:0] = awaiting
+
+    def _outlook_for(self, minions: list[Minion], now: timedelta) -> Outlook:
+        """Return the outlook of this dispatch, whose steps share it and `minions`."""
+        if self._outlook is None or self._outlook[0] is not minions:
+            outlook = Outlook(self._roster.minions, self._durations, now)
+            self._outlook = minions, outlook
+        return self._outlook[1]
 
     def _place(self, task: PoolTask, minion: Minion, now: timedelta) -> None:
         step, entry = task.parent_step, minion.entry
--- a/src/brasstray/pool/placement.py
+++ b/src/brasstray/pool/placement.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from enum import IntEnum
+from operator import itemgetter
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
@@ -11,6 +12,7 @@
 
     from brasstray.pool.durations import Durations
     from brasstray.pool.minion import Minion
+    from brasstray.pool.outlook import Outlook
     from brasstray.pool.pool_task import PoolTask
     from brasstray.pool.step_tasks import StepTasks
 
@@ -19,6 +21,10 @@
 # A cold minion gets a task only where no other has capacity, as it is not known how
 # slow it is.
 COLD_PENALTY = 1.0
+# The share of the time until its objective that a task may be expected to take, and of
+# a run's duration within which another must be expected to end: the rest is for calls
+# and for the error of what was learned.
+TIME_USED = 0.9
 
 
 class Rank(IntEnum):
@@ -49,25 +55,78 @@
 
 
 def choose_minion(
-    task: PoolTask, minions: Iterable[Minion], durations: Durations, now: timedelta
+    task: PoolTask,
+    minions: Iterable[Minion],
+    durations: Durations,
+    now: timedelta,
+    outlook: Outlook | None = None,
 ) -> Minion | None:
-    """Return the best minion on which to start `task` at `now`, or None."""
+    """Return the best minion on which to start `task` at `now`, or None.
+
+    With an `outlook` on a pool of uneven minions, the end of the task decides, and None
+    may also mean that the task ends sooner if it waits for a better minion.
+    """
+    candidates = (minion for minion in minions if _may_run(task, minion, now))
+    if outlook is not None and outlook.uneven:
+        return _first_to_end(task, candidates, durations, now, outlook)
+    return min(
+        candidates, key=lambda minion: _cost(task, minion, durations, now), default=None
+    )
+
+
+def _cost(
+    task: PoolTask, minion: Minion, durations: Durations, now: timedelta
+) -> float:
+    entry = minion.entry
+    ratio = durations.ratio(task.parent_step, entry.key, entry.labels)
+    return ratio + _fit_cost(task, minion, now)
+
+
+def _fit_cost(task: PoolTask, minion: Minion, now: timedelta) -> float:
+    entry = minion.entry
+    cpu_left = minion.free_cpu_millis - task.parent_step.needs.cpu_millis
+    cost = FIT_WEIGHT * cpu_left / max(1, entry.capacity.cpu_millis)
+    if entry.key in task.avoided:
+        cost += 1.0
+    if minion.is_cold(now):
+        cost += COLD_PENALTY
+    return cost
+
+
+def _first_to_end(
+    task: PoolTask,
+    candidates: Iterable[Minion],
+    durations: Durations,
+    now: timedelta,
+    outlook: Outlook,
+) -> Minion | None:
+    """Return the minion where `task` ends in time, or else first; None to wait.
+
+    Of the minions where it ends in time, a slow one is preferred: the fast ones are
+    kept for tasks that would be late elsewhere.
+    """
     step = task.parent_step
-    best, best_cost = None, 0.0
-    for minion in minions:
-        if not _may_run(task, minion, now):
-            continue
+    in_time: list[tuple[float, Minion]] = []
+    late: list[tuple[float, Minion]] = []
+    for minion in candidates:
         entry = minion.entry
-        cpu_left = minion.free_cpu_millis - step.needs.cpu_millis
-        unused = cpu_left / max(1, entry.capacity.cpu_millis)
-        ratio = durations.ratio(step, entry.key, entry.labels)
-        cost = ratio + FIT_WEIGHT * unused
-        if entry.key in task.avoided:
-            cost += 1.0
-        if minion.is_cold(now):
-            cost += COLD_PENALTY
-        if best is None or cost < best_cost:
-            best, best_cost = minion, cost
+        lasts = durations.expected(step, entry.key, entry.labels)
+        fit = _fit_cost(task, minion, now)
+        if lasts <= (step.due - now) * TIME_USED and not minion.is_cold(now):
+            kept = durations.slowness(entry.key) / outlook.slowest
+            in_time.append((fit - kept, minion))
+        else:
+            late.append((lasts / step.estimate + fit, minion))
+    if in_time:
+        return min(in_time, key=itemgetter(0))[1]
+    if not late:
+        return None
+    best = min(late, key=itemgetter(0))[1]
+    lasts = durations.expected(step, best.entry.key, best.entry.labels)
+    awaited = outlook.first_end(task)
+    if awaited is not None and awaited[1] - now < lasts * TIME_USED:
+        outlook.reserve(step, awaited[0])
+        return None
     return best
 
 
--- a/tests/host/test_uneven_load.py
+++ b/tests/host/test_uneven_load.py
@@ -1,7 +1,8 @@
 """Check how many jobs are on time, and how much work is discarded, on uneven loads.
 
-The loads have long tasks among usual ones, estimates off by 40%, and demand that swings
-out of phase between data centres. They are compared with what is possible for
+The loads are those of a fleet whose minions differ in speed (0.7, 0.7 and 1.7 times the
+usual duration), with long tasks among usual ones, estimates off by 40%, and demand that
+swings out of phase between data centres. They are compared with what is possible for
 one who knows speeds and durations.
 """
 
@@ -13,7 +14,7 @@
 
 from brasstray_standins.pool_system import PoolSystemSize
 
-EVEN = (1.0,)
+EVEN, UNEVEN = (1.0,), (0.7, 0.7, 1.7)
 MINIONS_EACH = 6
 SLOTS_EACH = 2
 # The least share of the jobs that are on time in the ideal case.
@@ -43,11 +44,25 @@
             UnevenLoad(jobs_per_s(0.6, EVEN, TAILS), 12, tail_share=0.03, error=0.4),
             id="tails",
         ),
+        pytest.param(
+            UNEVEN, UnevenLoad(jobs_per_s(0.7, UNEVEN), 12, error=0.4), id="speeds"
+        ),
         pytest.param(
             EVEN,
             UnevenLoad(jobs_per_s(0.7, EVEN), 12, error=0.4, swing=0.55),
             id="waves",
         ),
+        pytest.param(
+            UNEVEN,
+            UnevenLoad(
+                jobs_per_s(0.7, UNEVEN, TAILS),
+                12,
+                tail_share=0.03,
+                error=0.4,
+                swing=0.55,
+            ),
+            id="all",
+        ),
     ],
 )
 def test_uneven_load(play_pools, slowdowns, load, seed):
--- a/tests/pool/test_neighbours.py
+++ b/tests/pool/test_neighbours.py
@@ -102,3 +102,37 @@
     monitor = HealthMonitor(lambda: [target], NullObject())
     assert monitor.should_stop(target, records[0], NOW + ms(130))
     assert not target.health.suspected
+
+
+class Events(NullObject):
+    """Keep the events on slow runs."""
+
+    def __init__(self):
+        self.kept = []
+
+    def straggler_stopped(self, _minion, _record, reason):
+        self.kept.append(reason.value)
+
+    def long_task(self, _minion, _record):
+        self.kept.append("long_task")
+
+
+@pytest.mark.parametrize(
+    ("percent", "other", "kept"),
+    [
+        (14, 5, ["slow_minion"]),
+        (0, 80, ["stuck"]),
+        # A long task is reported once, however often it is judged.
+        (14, 80, ["long_task"]),
+        (80, 80, []),
+    ],
+)
+def test_events_say_why(percent, other, kept):
+    target, records = with_runs(percent, other)
+    records[0].task.parent_step.slowdowns["b"] = 1.0
+    records[0].report(percent, NOW + ms(130))
+    events = Events()
+    monitor = HealthMonitor(lambda: [target], events)
+    for _ in range(3):
+        monitor.should_stop(target, records[0], NOW + ms(130))
+    assert events.kept == kept
