Decide by priority and callers' shares while waiting work cannot meet its objective

The priority of a queue decided nothing, and under a burst jobs were refused late or waited until their callers gave up. An owner now forecasts when its minions' runs end; once a waiting step cannot meet its objective, steps start by priority with a floor, then by callers' shares, and new jobs that would be late are rejected at their first review or queued in the pool where they end first.

--- a/src/brasstray/coordinator/coordinator.py
+++ b/src/brasstray/coordinator/coordinator.py
@@ -13,6 +13,8 @@
 from brasstray.coordinator.active_batch import ActiveBatch
 from brasstray.peer.message.run_tasks import RunTasks
 from brasstray.peer.message.stop_tasks import StopTasks
+from brasstray.pool.caller_shares import SHARE_PERIOD
+from brasstray.pool.decayed_work import DecayedWork
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -50,6 +52,7 @@
         self._timing = timing
         self._events = events
         self._active: dict[BatchId, ActiveBatch] = {}
+        self._done: DecayedWork[int] = DecayedWork(SHARE_PERIOD)
         self._unreachable_since: dict[PoolId, timedelta] = {}
         self._job_added = anyio.Event()
 
@@ -206,6 +209,7 @@
             forwarded=forwarded,
             claimed=claimed,
             begun=active.begun,
+            done_ms=round(1_000 * self._done.get(queue.priority, now)),
         )
         self._pools.send(pool, message)
 
@@ -225,6 +229,8 @@
                 active.any_done = active.begun = True
                 active.steps_left[message.step] -= 1
         if not any(active.steps_left.values()):
+            work = _work(active.batch)
+            self._done.add(active.queue.priority, work, self._clock.monotonic())
             self._end(active, BatchResult(BatchOutcome.SUCCEEDED))
         elif not active.steps_left[message.step]:
             self._send_ready_steps(active, self._choose_pool(message.batch) or pool)
@@ -394,4 +400,12 @@
     return max(path_lengths, default=timedelta(0))
 
 
+def _work(batch: Batch) -> float:
+    """Return the estimated work of `batch` in core seconds."""
+    return sum(
+        step.count * step.estimate.total_seconds() * step.needs.cpu_millis / 1_000
+        for step in batch.steps
+    )
+
+
 __all__ = ["Coordinator", "critical_path"]
--- a/src/brasstray/host/local_requester.py
+++ b/src/brasstray/host/local_requester.py
@@ -22,10 +22,15 @@
         on_message: Callable[[PoolMessage], None],
         clock: Clock,
     ) -> None:
-        self.name = str(host)
+        self._name = str(host)
         self._clock = clock
         self._on_message = on_message
 
+    @property
+    def name(self) -> str:
+        """Return the name of this host."""
+        return self._name
+
     @property
     def last_contact(self) -> timedelta:
         """Return the current time, as this host is a part of the owner's process.
--- a/src/brasstray/host/pool_directory.py
+++ b/src/brasstray/host/pool_directory.py
@@ -29,6 +29,8 @@
     from brasstray.peer.message_stream import StreamOpener
     from brasstray.peer.pool_messages import PoolMessage
 
+_MILLISECOND = timedelta(milliseconds=1)
+
 
 class PoolDirectory:
     """Hold the known owners; route to the local pool directly, to others by links."""
@@ -213,7 +215,13 @@
             if state is not None and pool != self._local_pool:
                 free = state.free_slots if state.ready else 0
                 left = free - self._reserved_slots.get(pool, 0)
-                found[pool] = PoolLoad(max(0, left), state.wait_ms, max(0, -left))
+                found[pool] = PoolLoad(
+                    max(0, left),
+                    state.wait_ms,
+                    max(0, -left),
+                    state.waits_ms,
+                    link.state_age // _MILLISECOND,
+                )
         return found
 
     def reserve_slots(self, pool: PoolId, count: int) -> None:
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -376,6 +376,7 @@
             token=owner.token if owner else NO_TOKEN,
             free_slots=load.free_slots,
             wait_ms=load.wait_ms,
+            waits_ms=load.waits_ms,
             ready=owner is not None and owner.recovered,
             resigning=self._draining or self._handover.requested,
             config_version=self.config.version,
--- a/src/brasstray/host/pool_link.py
+++ b/src/brasstray/host/pool_link.py
@@ -97,13 +97,18 @@
         self._pool_state: PoolState | None = None
         self._scope = anyio.CancelScope()
         self._owner_state = OwnerState.EXPECTED
-        self._learned_at = clock.monotonic()
+        self._learned_at = self._state_at = clock.monotonic()
 
     @property
     def pool_state(self) -> PoolState | None:
         """Return the last state that the owner sent, or None if it is unreachable."""
         return self._pool_state
 
+    @property
+    def state_age(self) -> timedelta:
+        """Return how long ago the last state arrived."""
+        return self._clock.monotonic() - self._state_at
+
     @property
     def owner_state(self) -> OwnerState:
         """Return what this link knows about the owner."""
@@ -285,7 +290,7 @@
     def _update_state(self, pool_state: PoolState) -> None:
         if pool_state.pool == self._pool and pool_state.token >= self._owned.token:
             was_up = self._pool_state is not None
-            self._pool_state = pool_state
+            self._pool_state, self._state_at = pool_state, self._clock.monotonic()
             resigning = pool_state.resigning
             self._set_owner_state(OwnerState.RESIGNING if resigning else OwnerState.UP)
             if not was_up:
--- a/src/brasstray/peer/message/pool_state.py
+++ b/src/brasstray/peer/message/pool_state.py
@@ -15,7 +15,8 @@
 
     `incarnation` distinguishes a process that hasn't yet learned that its claim was
     written from one that has been started since. `free_slots` is the number of typical
-    tasks that could start now. `wait_ms` is how long a new task would wait. `ready` is
+    tasks that could start now. `wait_ms` is how long a new task would wait, and
+    `waits_ms` the same by priority, the last for all lower ones. `ready` is
     false until the owner knows which tasks its minions run. `resigning` asks another
     host to take over the pool.
 
@@ -35,6 +36,7 @@
     evacuations: EvacuationSet = UNREAD_EVACUATIONS
     contact_age_ms: int | None = None
     acknowledged_ms: int | None = None
+    waits_ms: tuple[int, ...] = ()
 
 
 __all__ = ["PoolState"]
--- a/src/brasstray/peer/message/run_tasks.py
+++ b/src/brasstray/peer/message/run_tasks.py
@@ -15,7 +15,8 @@
     when the caller gives up. `claimed` says that an owner of this pool was asked
     before, so that the tasks may already be running; `forwarded`, that another pool had
     no free capacity; `begun`, that a task of the job may already have been sent to a
-    minion.
+    minion. `done_ms` is the recent work of all pools for this host at `priority`, in
+    core milliseconds; it decays with `SHARE_PERIOD`.
     """
 
     batch: BatchId
@@ -40,6 +41,7 @@
     forwarded: bool = False
     claimed: bool = False
     begun: bool = False
+    done_ms: int = 0
 
 
 __all__ = ["RunTasks"]
--- /dev/null
+++ b/src/brasstray/pool/caller_shares.py
@@ -0,0 +1,97 @@
+"""Keep the shares of a pool that priorities and callers had recently."""
+
+from __future__ import annotations
+
+from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from brasstray.pool.capacity_forecast import Flow
+from brasstray.pool.decayed_work import DecayedWork
+
+if TYPE_CHECKING:
+    from brasstray.pool.step_tasks import StepTasks
+
+# Covers several of the longest usual tasks.
+SHARE_PERIOD = timedelta(seconds=2)
+# Short enough to follow a burst, long enough for several jobs of each kind.
+DEMAND_PERIOD = timedelta(seconds=1)
+
+
+class CallerShares:
+    """Hold the work requested by priority, and started by priority and by caller.
+
+    A caller is an entry host: callers behind one host cannot be told apart. Hosts
+    report what was done for them in all pools, which replaces what this pool has
+    started for them if that is less. All work is in core seconds.
+    """
+
+    def __init__(self) -> None:
+        self._by_caller: DecayedWork[tuple[int, str]] = DecayedWork(SHARE_PERIOD)
+        self._by_priority: DecayedWork[int] = DecayedWork(SHARE_PERIOD)
+        self._demand: DecayedWork[tuple[int, str]] = DecayedWork(DEMAND_PERIOD)
+        self._task_count: DecayedWork[int] = DecayedWork(DEMAND_PERIOD)
+        self._task_time: DecayedWork[int] = DecayedWork(DEMAND_PERIOD)
+
+    def record_demand(
+        self, step: StepTasks, expected: timedelta, count: int, now: timedelta
+    ) -> None:
+        """Count `count` requested tasks."""
+        self._demand.add(_key(step), step.work(expected, count), now)
+        self._task_count.add(step.priority, count, now)
+        self._task_time.add(step.priority, count * expected.total_seconds(), now)
+
+    def record_report(self, step: StepTasks, work: float, now: timedelta) -> None:
+        """Record the work that the requester of `step` had done at its priority."""
+        self._by_caller.raise_to(_key(step), work, now)
+
+    def record_start(self, step: StepTasks, work: float, now: timedelta) -> None:
+        """Count work that is being started."""
+        self._by_caller.add(_key(step), work, now)
+        self._by_priority.add(step.priority, work, now)
+
+    def differ(self, now: timedelta) -> bool:
+        """Return whether several priorities or callers have demand."""
+        return len(self._demand.keys(now)) > 1
+
+    def done(self, step: StepTasks, now: timedelta) -> float:
+        """Return the recent work for the caller of `step` at its priority."""
+        return self._by_caller.get(_key(step), now)
+
+    def mean_to_own(self, step: StepTasks, now: timedelta) -> float:
+        """Return the mean work of callers, over that for the caller of `step`."""
+        own = self.done(step, now)
+        if not own:
+            return 1.0
+        callers = [k for k in self._demand.keys(now) if k[0] == step.priority]
+        total = sum(self._by_caller.get(key, now) for key in callers)
+        return total / max(1, len(callers)) / own
+
+    def by_priority(self, now: timedelta) -> dict[int, float]:
+        """Return the recently started work by priority."""
+        keys = self._by_priority.keys(now)
+        return {key: self._by_priority.get(key, now) for key in keys}
+
+    def demand(self, lowest: int, now: timedelta) -> float:
+        """Return the rate at which work up to `lowest` is requested, in cores."""
+        return sum(
+            self._demand.rate(key, now)
+            for key in self._demand.keys(now)
+            if key[0] <= lowest
+        )
+
+    def flows(self, now: timedelta) -> list[Flow]:
+        """Return what is being requested, by priority."""
+        found = []
+        for priority in sorted(self._task_count.keys(now)):
+            count = self._task_count.get(priority, now)
+            duration = self._task_time.get(priority, now) / count
+            rate = self._task_count.rate(priority, now)
+            found.append(Flow(priority, rate, duration))
+        return found
+
+
+def _key(step: StepTasks) -> tuple[int, str]:
+    return step.priority, step.requester.name
+
+
+__all__ = ["CallerShares"]
--- a/src/brasstray/pool/dispatcher.py
+++ b/src/brasstray/pool/dispatcher.py
@@ -8,7 +8,7 @@
 import anyio
 
 from brasstray.batch.ids import RunNumber
-from brasstray.pool.placement import choose_minion, urgency
+from brasstray.pool.placement import choose_minion
 from brasstray.pool.pool_load import PoolLoad
 from brasstray.pool.pool_task import TaskPhase
 from brasstray.pool.run_record import RunRecord, RunState
@@ -120,11 +120,7 @@
         # saturate an overloaded owner.
         if not minions and not self._review_due:
             return
-        waiting.sort(
-            key=lambda step: urgency(
-                step, self._durations.expected(step, None, ()), now
-            )
-        )
+        waiting = self._sharing.plan.order(waiting, now)
         for step in waiting:
             self._start_tasks(step, minions, now)
         if self._review_due:
@@ -160,6 +156,7 @@
             cold=minion.is_cold(now),
         )
         step.begun = True
+        self._sharing.shares.record_start(step, step.work(expected, 1), now)
         minion.add(record)
         self._events.started(minion, record, now - step.arrived)
         self._roster.session(entry.id).start(record, step.spec)
--- a/src/brasstray/pool/load_sharing.py
+++ b/src/brasstray/pool/load_sharing.py
@@ -7,19 +7,25 @@
 from typing import TYPE_CHECKING
 
 from brasstray.peer.message.tasks_returned import TasksReturned
+from brasstray.pool.caller_shares import CallerShares
+from brasstray.pool.capacity_forecast import forecast
+from brasstray.pool.forward_target import MIN_GAIN, TRANSIT, first_to_end
 from brasstray.pool.minion import Reachability
 from brasstray.pool.pool_load import PoolLoad
+from brasstray.pool.shortage import NEVER, ShortagePlan, waits_by_priority
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Sequence
 
     from brasstray.batch.ids import PoolId
-    from brasstray.batch.resources import Resources
     from brasstray.clock.clock import Clock
+    from brasstray.peer.message.run_tasks import RunTasks
+    from brasstray.pool.capacity_forecast import CapacityForecast, Flow
     from brasstray.pool.durations import Durations
     from brasstray.pool.minion import Minion
     from brasstray.pool.other_pools import OtherPools
     from brasstray.pool.owner_events import OwnerEvents
+    from brasstray.pool.shortage import PlannedStep
     from brasstray.pool.step_tasks import StepTasks
     from brasstray.pool.task_registry import TaskRegistry
 
@@ -51,23 +57,77 @@
         self._clock = clock
         self._events = events
         self._evacuated = evacuated
+        self._shares = CallerShares()
+        self._plan = ShortagePlan(durations, self._shares)
+        self._waits: tuple[timedelta, ...] = ()
+        self._cores = 0.0
         self._mean_task_cpu: float | None = None
 
-    def observe_demand(self, needs: Resources) -> None:
-        """Update the average task size with the resources of a requested task."""
-        cpu = max(1, needs.cpu_millis)
+    @property
+    def plan(self) -> ShortagePlan:
+        """Return the plan that orders waiting steps."""
+        return self._plan
+
+    @property
+    def shares(self) -> CallerShares:
+        """Return what priorities and callers had of the pool."""
+        return self._shares
+
+    def observe_demand(self, step: StepTasks, message: RunTasks) -> None:
+        """Count requested tasks, and what else was done for their requester."""
+        cpu = max(1, step.needs.cpu_millis)
         if self._mean_task_cpu is None:
             self._mean_task_cpu = cpu
         self._mean_task_cpu += TASK_SIZE_SMOOTHING * (cpu - self._mean_task_cpu)
+        now = self._clock.monotonic()
+        expected = self._durations.expected(step, None, ())
+        self._shares.record_report(step, message.done_ms / 1_000, now)
+        if not message.claimed:
+            self._shares.record_demand(step, expected, len(message.indices), now)
 
     def forward_or_reject(self, waiting_steps: list[StepTasks], now: timedelta) -> None:
-        """Forward waiting tasks to pools with free slots, or reject them.
+        """Forward tasks that would end sooner elsewhere; reject those that are lost.
 
         `waiting_steps` is in the order in which the steps will get capacity.
         """
+        self._waits = ()
         if not waiting_steps:
             return
         loads = self._others.loads()
+        ahead = self._forecast(now)
+        self._cores = ahead.slots * (self._mean_task_cpu or 0.0) / 1_000
+        next_free = min(NEVER, timedelta(seconds=min(ahead.next_free, 1e5)))
+        was_active = self._plan.active(now)
+        if self._plan.detect(waiting_steps, ahead, now) and not was_active:
+            waiting_steps = self._plan.order(waiting_steps, now)
+        if self._plan.active(now):
+            ahead = self._forecast(now, self._shares.flows(now))
+        if not self._plan.active(now):
+            self._review_as_usual(waiting_steps, loads, now)
+            return
+        kept = []
+        for step in waiting_steps:
+            planned, after = self._plan.plan_step(step, ahead)
+            count = len(step.waiting)
+            self._decide(planned, loads, now)
+            if step.waiting:
+                if len(step.waiting) != count:
+                    planned, after = self._plan.plan_step(step, ahead)
+                ahead = after
+                kept.append(planned)
+                step.admitted = True
+        self._waits = waits_by_priority(kept, next_free)
+
+    def _review_as_usual(
+        self,
+        waiting_steps: list[StepTasks],
+        loads: dict[PoolId, PoolLoad],
+        now: timedelta,
+    ) -> None:
+        """Forward to free slots, and reject what will be useless, without a shortage.
+
+        Runs that are expected to take long may end early, so only waiting work counts.
+        """
         capacity = self._leased_cpu()
         wait = timedelta(0)
         for step in waiting_steps:
@@ -75,11 +135,64 @@
             if not step.forwarded:
                 self._fill_free_slots(step, loads)
             if step.waiting and self._misses_deadline(step, now + wait + expected):
-                self._reject(step, wait)
+                self._reject(step, wait, loads)
+            step.admitted = True
             # Later steps wait until the tasks of this one have ended.
             work = expected * len(step.waiting)
             wait += work * step.needs.cpu_millis / max(1, capacity)
 
+    def _decide(
+        self, planned: PlannedStep, loads: dict[PoolId, PoolLoad], now: timedelta
+    ) -> None:
+        step = planned.step
+        if not step.forwarded:
+            if planned.wait > TRANSIT:
+                self._fill_free_slots(step, loads)
+            if step.waiting and not step.partial:
+                self._move_if_sooner(planned, loads, now)
+        if step.waiting and self._is_lost(planned, now):
+            self._reject(step, planned.wait, loads)
+
+    def _move_if_sooner(
+        self, planned: PlannedStep, loads: dict[PoolId, PoolLoad], now: timedelta
+    ) -> None:
+        """Send all of a step that would be late here to a pool where it is not."""
+        step, expected = planned.step, planned.expected
+        end = now + planned.wait + expected
+        if end <= step.due and not self._is_lost(planned, now):
+            return
+        per_task = self._wait_per_task(step, expected)
+        found = first_to_end(loads, step.priority, expected, per_task)
+        if found is None:
+            return
+        pool, end_in = found
+        # The last of its tasks counts.
+        there = now + end_in + (len(step.waiting) - 1) * per_task
+        if there + MIN_GAIN <= end and there <= step.due:
+            self._queue_at(step, pool, loads)
+
+    def _is_lost(self, planned: PlannedStep, now: timedelta) -> bool:
+        """Return whether the rest of a step is rejected.
+
+        In a shortage, a new job that may be late is rejected at once, so that it may
+        come back in time. What has begun does not wait for more urgent work.
+        """
+        step = planned.step
+        if not step.partial and not step.admitted:
+            return planned.wait > self._plan.room(planned, self._cores, now)
+        return self._misses_deadline(step, now + planned.wait + planned.expected)
+
+    def _misses_deadline(self, step: StepTasks, end: timedelta) -> bool:
+        """Return whether `step`, which would end at `end`, should be rejected.
+
+        A job of which nothing has run is rejected if it cannot end while its answer is
+        useful, so that its caller need not wait for that. A job that is spread over
+        several pools or has begun is continued as long as its caller waits.
+        """
+        return end > (
+            step.limit if step.partial else min(step.useful_until, step.limit)
+        )
+
     def _fill_free_slots(self, step: StepTasks, loads: dict[PoolId, PoolLoad]) -> None:
         """Forward tasks of `step` to free slots, in the pool with the most first."""
         for pool, load in sorted(loads.items(), key=lambda item: -item[1].free_slots):
@@ -102,25 +215,36 @@
                 self._fill_free_slots(step, loads)
                 self._queue_elsewhere(step, loads)
             elif not self._others.any_connectable() or self._misses_deadline(step, now):
-                self._reject(step, timedelta(0))
+                self._reject(step, timedelta(0), loads)
 
     def _queue_elsewhere(self, step: StepTasks, loads: dict[PoolId, PoolLoad]) -> None:
-        """Send the remaining tasks of `step` to the pool with the shortest wait."""
+        """Send the remaining tasks of `step` to the pool where they end first."""
         if not step.waiting:
             return
-        count = len(step.waiting)
         expected = self._durations.expected(step, None, ())
-        # The other pools are assumed to be as large as this one.
-        wait_per_task = expected * step.needs.cpu_millis / max(1, self._leased_cpu())
-        pool = min(
-            loads,
-            key=lambda p: (
-                loads[p].wait_ms * _MILLISECOND + loads[p].excess * wait_per_task
-            ),
-        )
+        per_task = self._wait_per_task(step, expected)
+        found = first_to_end(loads, step.priority, expected, per_task)
+        if found is not None:
+            self._queue_at(step, found[0], loads)
+
+    def _wait_per_task(self, step: StepTasks, expected: timedelta) -> timedelta:
+        """Return by how much a task lengthens the wait in another pool.
+
+        The other pools are assumed to be as large as this one.
+        """
+        return expected * step.needs.cpu_millis / max(1, self._leased_cpu())
+
+    def _queue_at(
+        self, step: StepTasks, pool: PoolId, loads: dict[PoolId, PoolLoad]
+    ) -> None:
+        count, load = len(step.waiting), loads[pool]
         self._forward(step, count, pool)
-        load = loads[pool]
-        loads[pool] = replace(load, excess=load.excess + count)
+        beyond = max(0, count - load.free_slots)
+        loads[pool] = replace(
+            load,
+            free_slots=max(0, load.free_slots - count),
+            excess=load.excess + beyond,
+        )
 
     def _forward(self, step: StepTasks, count: int, pool: PoolId) -> None:
         tasks, step.waiting = step.waiting[-count:], step.waiting[:-count]
@@ -145,19 +269,9 @@
         )
         self._tasks.forget_if_empty(step)
 
-    def _misses_deadline(self, step: StepTasks, end: timedelta) -> bool:
-        """Return whether `step`, which would end at `end`, should be rejected.
-
-        A job of which nothing has run is rejected if it cannot end while its answer is
-        useful, so that its caller need not wait for that. A job that is spread over
-        several pools or has begun is continued as long as its caller waits.
-        """
-        if step.begun:
-            return False
-        complete = len(step.tasks) == step.width
-        return end > (min(step.useful_until, step.limit) if complete else step.limit)
-
-    def _reject(self, step: StepTasks, wait: timedelta) -> None:
+    def _reject(
+        self, step: StepTasks, wait: timedelta, loads: dict[PoolId, PoolLoad]
+    ) -> None:
         evacuated = self._evacuated()
         wait_ms = max(wait // _MILLISECOND, self.load().wait_ms)
         indices = tuple(task.name.index for task in step.waiting)
@@ -182,20 +296,31 @@
         if self._evacuated():
             return PoolLoad()
         now = self._clock.monotonic()
-        usable = [m for m in self._minions() if m.usable(now)]
         waiting = sum(
-            len(step.waiting)
-            * step.needs.cpu_millis
-            * self._durations.expected(step, None, ()).total_seconds()
+            step.work(self._durations.expected(step, None, ()), len(step.waiting))
             for step in self._tasks.steps
         )
         if waiting:
-            return PoolLoad(0, round(1_000 * waiting / max(1, self._leased_cpu())))
+            waits = tuple(wait // _MILLISECOND for wait in self._waits)
+            return PoolLoad(
+                0, round(1e6 * waiting / max(1, self._leased_cpu())), waits_ms=waits
+            )
+        slot_cpu = round(self._slot_cpu)
+        usable = [m for m in self._minions() if m.usable(now)]
+        free = sum(m.free_cpu_millis // slot_cpu for m in usable)
+        if free:
+            return PoolLoad(free)
+        next_free = self._forecast(now).next_free
+        return PoolLoad(waits_ms=(round(1_000 * min(next_free, 1e5)),))
+
+    @property
+    def _slot_cpu(self) -> float:
         # The size of tasks is unknown before the first request.
-        slot_cpu = round(
-            (self._mean_task_cpu or DEFAULT_TASK_CPU_MILLIS) * SLOT_SIZE_MARGIN
-        )
-        return PoolLoad(sum(m.free_cpu_millis // slot_cpu for m in usable), 0)
+        return (self._mean_task_cpu or DEFAULT_TASK_CPU_MILLIS) * SLOT_SIZE_MARGIN
+
+    def _forecast(self, now: timedelta, flows: Sequence[Flow] = ()) -> CapacityForecast:
+        minions = self._minions()
+        return forecast(minions, self._durations, self._slot_cpu, now, flows)
 
     def _leased_cpu(self) -> int:
         return sum(
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -247,7 +247,7 @@
         if message.claimed:
             for session in self._roster.sessions:
                 session.renew_if_unlimited()
-        self._sharing.observe_demand(step.needs)
+        self._sharing.observe_demand(step, message)
         self._tasks.forget_if_empty(step)
         self.review()
 
--- a/src/brasstray/pool/requester.py
+++ b/src/brasstray/pool/requester.py
@@ -13,6 +13,10 @@
 class Requester(Protocol):
     """Receive messages about the tasks that it asked for; never blocks."""
 
+    @property
+    def name(self) -> str:
+        """Return the name of the host, by which its share of a pool is known."""
+
     @property
     def last_contact(self) -> timedelta:
         """Return the monotonic time at which the requester was last heard from."""
--- a/src/brasstray/pool/step_tasks.py
+++ b/src/brasstray/pool/step_tasks.py
@@ -22,7 +22,8 @@
     `due` is the deadline of the job's objective, `useful_until` the time up to which a
     late answer still has some value, and `limit` the time at which the caller gives up;
     all are monotonic times. `forwarded` marks tasks that came from another pool and are
-    not forwarded again. `slowdowns` maps minions to the ratio of actual to expected
+    not forwarded again. `admitted` marks steps that were to end in time when they were
+    first planned. `slowdowns` maps minions to the ratio of actual to expected
     duration of the tasks observed there.
     """
 
@@ -46,10 +47,20 @@
     queue: str
     width: int
     begun: bool = False
+    admitted: bool = False
     slowdowns: dict[MinionKey, float] = field(default_factory=dict)
     tasks: dict[int, PoolTask] = field(default_factory=dict)
     waiting: list[PoolTask] = field(default_factory=list)
 
+    @property
+    def partial(self) -> bool:
+        """Return whether other tasks of the step have been started or are elsewhere."""
+        return self.begun or len(self.tasks) < self.width
+
+    def work(self, expected: timedelta, count: int) -> float:
+        """Return the work of `count` tasks in core seconds."""
+        return expected.total_seconds() * self.needs.cpu_millis / 1_000 * count
+
     def best_slowdown_elsewhere(self, minion: MinionKey) -> float | None:
         """Return the lowest slowdown on other minions, or None if none is known."""
         others = [ratio for other, ratio in self.slowdowns.items() if other != minion]
