--- a/src/brasstray/coordinator/coordinator.py
+++ b/src/brasstray/coordinator/coordinator.py
@@ -11,6 +11,7 @@
 from brasstray.batch.outcome import BatchOutcome, BatchResult, GiveUpReason
 from brasstray.batch.task_name import TaskName
 from brasstray.coordinator.active_batch import ActiveBatch
+from brasstray.coordinator.retry_spread import RetrySpread
 from brasstray.peer.message.run_tasks import RunTasks
 from brasstray.peer.message.stop_tasks import StopTasks
 from brasstray.pool.caller_shares import SHARE_PERIOD
@@ -18,6 +19,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from random import Random
 
     from brasstray.batch.batch import Batch
     from brasstray.batch.ids import BatchId, PoolId
@@ -45,6 +47,7 @@
         clock: Clock,
         timing: CoordinatorTiming,
         events: CoordinatorEvents,
+        random: Random,
     ) -> None:
         self._home = home
         self._pools = pools
@@ -53,6 +56,7 @@
         self._events = events
         self._active: dict[BatchId, ActiveBatch] = {}
         self._done: DecayedWork[int] = DecayedWork(SHARE_PERIOD)
+        self._retry_spread = RetrySpread(random)
         self._unreachable_since: dict[PoolId, timedelta] = {}
         self._job_added = anyio.Event()
 
@@ -230,7 +234,9 @@
                 active.steps_left[message.step] -= 1
         if not any(active.steps_left.values()):
             work = _work(active.batch)
-            self._done.add(active.queue.priority, work, self._clock.monotonic())
+            now = self._clock.monotonic()
+            self._done.add(active.queue.priority, work, now)
+            self._retry_spread.record_served(active.queue.priority, now)
             self._end(active, BatchResult(BatchOutcome.SUCCEEDED))
         elif not active.steps_left[message.step]:
             self._send_ready_steps(active, self._choose_pool(message.batch) or pool)
@@ -289,7 +295,9 @@
     def _refuse_overloaded(
         self, active: ActiveBatch, returned: int, wait_ms: int
     ) -> None:
-        wait = max(self._timing.retry_after, wait_ms * _MILLISECOND)
+        earliest = max(self._timing.retry_after, wait_ms * _MILLISECOND)
+        now = self._clock.monotonic()
+        wait = self._retry_spread.choose(active.queue.priority, earliest, now)
         self._end_unfinished(active, returned, GiveUpReason.OVERLOADED, wait)
 
     def _refuse_evacuated(self, active: ActiveBatch, returned: int = 0) -> None:
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -101,7 +101,12 @@
             lambda pool: self._coordinator.has_tasks_at(pool),
         )
         self._coordinator = Coordinator(
-            self._pool, self._directory, clock, timing.coordinator, events
+            self._pool,
+            self._directory,
+            clock,
+            timing.coordinator,
+            events,
+            dependencies.random,
         )
         self._succession = Succession(identity.host)
         self._contact = CoordinatorContact(dependencies.uptime)
--- a/src/brasstray/pool/load_sharing.py
+++ b/src/brasstray/pool/load_sharing.py
@@ -8,7 +8,7 @@
 
 from brasstray.peer.message.tasks_returned import TasksReturned
 from brasstray.pool.caller_shares import CallerShares
-from brasstray.pool.capacity_forecast import forecast
+from brasstray.pool.capacity_forecast import HORIZON, forecast
 from brasstray.pool.forward_target import MIN_GAIN, TRANSIT, first_to_end
 from brasstray.pool.minion import Reachability
 from brasstray.pool.pool_load import PoolLoad
@@ -273,7 +273,9 @@
         self, step: StepTasks, wait: timedelta, loads: dict[PoolId, PoolLoad]
     ) -> None:
         evacuated = self._evacuated()
-        wait_ms = max(wait // _MILLISECOND, self.load().wait_ms)
+        # Nothing is known of waits beyond the horizon of the plan.
+        known = wait if wait < NEVER else timedelta(seconds=HORIZON)
+        wait_ms = max(known // _MILLISECOND, self.load().wait_ms)
         indices = tuple(task.name.index for task in step.waiting)
         self._events.rejected(step, len(indices), wait_ms, evacuated=evacuated)
         step.waiting.clear()
--- a/tests/coordinator/test_coordinator.py
+++ b/tests/coordinator/test_coordinator.py
@@ -4,6 +4,7 @@
 
 from dataclasses import dataclass, field
 from datetime import timedelta
+from random import Random
 
 import anyio
 import pytest
@@ -72,7 +73,7 @@
         if loads is not None:
             pools.loads = loads
         coordinator = Coordinator(
-            HOME, pools, LoopClock(), CoordinatorTiming(), NullEvents()
+            HOME, pools, LoopClock(), CoordinatorTiming(), NullEvents(), Random(1)
         )
         results = []
 
