--- a/src/brasstray/host/event_log.py
+++ b/src/brasstray/host/event_log.py
@@ -22,6 +22,7 @@
     from brasstray.pool.minion import Minion
     from brasstray.pool.minion_health import Evidence
     from brasstray.pool.pool_task import TaskPhase
+    from brasstray.pool.rejection_reason import RejectionReason
     from brasstray.pool.run_record import RunRecord
     from brasstray.pool.step_tasks import StepTasks
 
@@ -205,16 +206,22 @@
         log_message("brasstray:evacuated_tasks", job=step.batch, tasks=count, pool=pool)
 
     def rejected(
-        self, step: StepTasks, count: int, wait_ms: int, *, evacuated: bool
+        self, step: StepTasks, count: int, wait_ms: int, reason: RejectionReason
     ) -> None:
         """Record that tasks were refused, as they could not end before the timeout."""
-        self._metrics.count_reason("evacuated" if evacuated else "rejected")
+        self._metrics.count_reason("evacuated" if reason.evacuated else "rejected")
+        self._metrics.count_rejection(step.priority, reason.name)
         log_message(
             "brasstray:rejected",
             job=step.batch,
             tasks=count,
             wait_ms=wait_ms,
-            evacuated=evacuated,
+            evacuated=reason.evacuated,
+            shortage=reason.shortage,
+            priority=step.priority,
+            caller=step.requester.name,
+            share=round(reason.share, 2),
+            report_age_ms=reason.report_age_ms,
         )
 
     def dropped(self, step: StepTasks, reason: str) -> None:
--- a/src/brasstray/metrics/pool_metrics.py
+++ b/src/brasstray/metrics/pool_metrics.py
@@ -33,6 +33,10 @@
         self._reasons = meter.create_counter(
             "brasstray_reasons", description="refusals and other decisions, by reason"
         )
+        self._rejections = meter.create_counter(
+            "brasstray_rejections",
+            description="rejections of owners, by priority and reason",
+        )
         self._retries = meter.create_counter(
             "brasstray_retries", description="tasks asked for again, by reason"
         )
@@ -81,6 +85,10 @@
         """Count a refusal or another decision by its reason."""
         self._reasons.add(1, {_REASON: reason})
 
+    def count_rejection(self, priority: int, reason: str) -> None:
+        """Count a rejection by the owner of a pool."""
+        self._rejections.add(1, {"priority": priority, _REASON: reason})
+
     def count_retry(self, reason: str) -> None:
         """Count a task that is requested again."""
         self._retries.add(1, {_REASON: reason})
--- a/src/brasstray/pool/load_sharing.py
+++ b/src/brasstray/pool/load_sharing.py
@@ -12,6 +12,7 @@
 from brasstray.pool.forward_target import MIN_GAIN, TRANSIT, first_to_end
 from brasstray.pool.minion import Reachability
 from brasstray.pool.pool_load import PoolLoad
+from brasstray.pool.rejection_reason import RejectionReason
 from brasstray.pool.shortage import NEVER, ShortagePlan, waits_by_priority
 
 if TYPE_CHECKING:
@@ -277,7 +278,8 @@
         known = wait if wait < NEVER else timedelta(seconds=HORIZON)
         wait_ms = max(known // _MILLISECOND, self.load().wait_ms)
         indices = tuple(task.name.index for task in step.waiting)
-        self._events.rejected(step, len(indices), wait_ms, evacuated=evacuated)
+        reason = self._rejection_reason(step, loads, evacuated=evacuated)
+        self._events.rejected(step, len(indices), wait_ms, reason)
         step.waiting.clear()
         for index in indices:
             del step.tasks[index]
@@ -293,6 +295,17 @@
         )
         self._tasks.forget_if_empty(step)
 
+    def _rejection_reason(
+        self, step: StepTasks, loads: dict[PoolId, PoolLoad], *, evacuated: bool
+    ) -> RejectionReason:
+        now = self._clock.monotonic()
+        return RejectionReason(
+            evacuated,
+            self._plan.active(now),
+            self._shares.mean_to_own(step, now),
+            max((load.age_ms for load in loads.values()), default=None),
+        )
+
     def load(self) -> PoolLoad:
         """Return the free slots and the expected wait of a new task."""
         if self._evacuated():
--- a/src/brasstray/pool/owner_events.py
+++ b/src/brasstray/pool/owner_events.py
@@ -14,6 +14,7 @@
     from brasstray.pool.minion_health import Evidence
     from brasstray.pool.pool_task import TaskPhase
     from brasstray.pool.probe_reply import RunEnd
+    from brasstray.pool.rejection_reason import RejectionReason
     from brasstray.pool.run_record import RunRecord
     from brasstray.pool.step_tasks import StepTasks
 
@@ -88,7 +89,7 @@
         """Tasks were sent to another pool, as their data centre is evacuated."""
 
     def rejected(
-        self, step: StepTasks, count: int, wait_ms: int, *, evacuated: bool
+        self, step: StepTasks, count: int, wait_ms: int, reason: RejectionReason
     ) -> None:
         """Tasks were rejected, as they could not end in time.
 
