Let the order under shortage act only if priorities or callers' demand differ

Two callers with one job each counted as different, so that a job moved out of an evacuated data centre was rejected for being late, though nothing competed with it. New jobs may be planned to use 80% of their slack: with 60%, capacity was left when it was just enough for the demand.

--- a/src/brasstray/pool/caller_shares.py
+++ b/src/brasstray/pool/caller_shares.py
@@ -15,6 +15,8 @@
 SHARE_PERIOD = timedelta(seconds=2)
 # Short enough to follow a burst, long enough for several jobs of each kind.
 DEMAND_PERIOD = timedelta(seconds=1)
+# Callers differ if one asks for this many times the work of another.
+UNEQUAL = 2.0
 
 
 class CallerShares:
@@ -50,8 +52,12 @@
         self._by_priority.add(step.priority, work, now)
 
     def differ(self, now: timedelta) -> bool:
-        """Return whether several priorities or callers have demand."""
-        return len(self._demand.keys(now)) > 1
+        """Return whether the priorities differ, or the demand of callers does."""
+        keys = self._demand.keys(now)
+        if len({priority for priority, _ in keys}) > 1:
+            return True
+        demand = [self._demand.get(key, now) for key in keys]
+        return bool(demand) and max(demand) > UNEQUAL * min(demand)
 
     def done(self, step: StepTasks, now: timedelta) -> float:
         """Return the recent work for the caller of `step` at its priority."""
--- a/src/brasstray/pool/shortage.py
+++ b/src/brasstray/pool/shortage.py
@@ -24,7 +24,7 @@
 FAIRNESS = 2
 # The part of its slack that a new step may be planned to wait, as a plan is a mean and
 # more urgent work comes in bursts. The most urgent work has nothing ahead.
-ROOM_PART = 0.6
+ROOM_PART = 0.8
 # A shortage is over once, for this long, all waiting work could meet its objective.
 SHORTAGE_HOLD = timedelta(seconds=1)
 # The wait for a pool without minions.
