--- a/src/brasstray/coordinator/coordinator.py
+++ b/src/brasstray/coordinator/coordinator.py
@@ -11,11 +11,15 @@
 from brasstray.batch.outcome import BatchOutcome, BatchResult, GiveUpReason
 from brasstray.batch.task_name import TaskName
 from brasstray.coordinator.active_batch import ActiveBatch
+from brasstray.coordinator.retry_spread import RetrySpread
 from brasstray.peer.message.run_tasks import RunTasks
 from brasstray.peer.message.stop_tasks import StopTasks
+from brasstray.pool.caller_shares import SHARE_PERIOD
+from brasstray.pool.decayed_work import DecayedWork
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
+    from random import Random
 
     from brasstray.batch.batch import Batch
     from brasstray.batch.ids import BatchId, PoolId
@@ -43,6 +47,7 @@
         clock: Clock,
         timing: CoordinatorTiming,
         events: CoordinatorEvents,
+        random: Random,
     ) -> None:
         self._home = home
         self._pools = pools
@@ -50,6 +55,8 @@
         self._timing = timing
         self._events = events
         self._active: dict[BatchId, ActiveBatch] = {}
+        self._done: DecayedWork[int] = DecayedWork(SHARE_PERIOD)
+        self._retry_spread = RetrySpread(random)
         self._unreachable_since: dict[PoolId, timedelta] = {}
         self._job_added = anyio.Event()
 
@@ -206,6 +213,7 @@
             forwarded=forwarded,
             claimed=claimed,
             begun=active.begun,
+            done_ms=round(1_000 * self._done.get(queue.priority, now)),
         )
         self._pools.send(pool, message)
 
@@ -225,6 +233,10 @@
                 active.any_done = active.begun = True
                 active.steps_left[message.step] -= 1
         if not any(active.steps_left.values()):
+            work = _work(active.batch)
+            now = self._clock.monotonic()
+            self._done.add(active.queue.priority, work, now)
+            self._retry_spread.record_served(active.queue.priority, now)
             self._end(active, BatchResult(BatchOutcome.SUCCEEDED))
         elif not active.steps_left[message.step]:
             self._send_ready_steps(active, self._choose_pool(message.batch) or pool)
@@ -283,7 +295,9 @@
     def _refuse_overloaded(
         self, active: ActiveBatch, returned: int, wait_ms: int
     ) -> None:
-        wait = max(self._timing.retry_after, wait_ms * _MILLISECOND)
+        earliest = max(self._timing.retry_after, wait_ms * _MILLISECOND)
+        now = self._clock.monotonic()
+        wait = self._retry_spread.choose(active.queue.priority, earliest, now)
         self._end_unfinished(active, returned, GiveUpReason.OVERLOADED, wait)
 
     def _refuse_evacuated(self, active: ActiveBatch, returned: int = 0) -> None:
@@ -394,4 +408,12 @@
     return max(path_lengths, default=timedelta(0))
 
 
+def _work(batch: Batch) -> float:
+    """Return the estimated work of `batch` in core seconds."""
+    return sum(
+        step.count * step.estimate.total_seconds() * step.needs.cpu_millis / 1_000
+        for step in batch.steps
+    )
+
+
 __all__ = ["Coordinator", "critical_path"]
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -111,7 +111,12 @@
             events,
         )
         self._coordinator = Coordinator(
-            self._pool, self._directory, clock, timing.coordinator, events
+            self._pool,
+            self._directory,
+            clock,
+            timing.coordinator,
+            events,
+            dependencies.random,
         )
         self._succession = Succession(identity.host)
         self._contact = CoordinatorContact(dependencies.uptime)
@@ -389,6 +394,7 @@
             token=owner.token if owner else NO_TOKEN,
             free_slots=load.free_slots,
             wait_ms=load.wait_ms,
+            waits_ms=load.waits_ms,
             ready=owner is not None and owner.recovered,
             resigning=self._draining or self._handover.requested,
             config_version=self.config.version,
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -123,16 +123,17 @@
             lambda minion, record: self._roster.session(minion.entry.id).stop(record),
             self._contact.inherited,
         )
+        self._task_size = TaskSize(clock.monotonic)
         self._sharing = LoadSharing(
             self._tasks,
             lambda: self.minions,
             self._durations,
+            self._task_size,
             others,
             clock,
             events,
             evacuated,
         )
-        self._task_size = TaskSize(self._sharing.observe_demand, clock.monotonic)
         self._lag = LoopLag()
         self._first_call_limiter = anyio.Semaphore(MAX_CONCURRENT_FIRST_CALLS)
         self._group: TaskGroup | None = None
@@ -305,7 +306,7 @@
         if message.claimed:
             for session in self._roster.sessions:
                 session.renew_if_unlimited()
-        self._task_size.observe(step.needs)
+        self._sharing.observe_demand(step, message)
         self._tasks.forget_if_empty(step)
         self.review()
 
--- a/src/brasstray/pool/task_size.py
+++ b/src/brasstray/pool/task_size.py
@@ -4,32 +4,28 @@
 
 from typing import TYPE_CHECKING
 
-from brasstray.batch.resources import Resources
 from brasstray.pool.learned_values import TASK_CPU
-from brasstray.pool.load_sharing import DEFAULT_TASK_CPU_MILLIS, TASK_SIZE_SMOOTHING
 from brasstray.pool.moving_ratio import MovingRatio, adopted
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
     from datetime import timedelta
 
+    from brasstray.batch.resources import Resources
     from brasstray.pool.learned_values import LearnedValue
 
+# Weight of one request in the moving average.
+TASK_SIZE_SMOOTHING = 0.05
+DEFAULT_TASK_CPU_MILLIS = 1_000.0
 # During the probation of an adopted mean, a request counts as many: a wrong mean must
 # be corrected by about ten of them.
 PROBATION_WEIGHT = 8
 
 
 class TaskSize:
-    """Average the CPU of requested tasks; `observe` passes each request on.
+    """Average the CPU of requested tasks."""
 
-    `observe` is called several times for a request that corrects an adopted mean.
-    """
-
-    def __init__(
-        self, observe: Callable[[Resources], None], now: Callable[[], timedelta]
-    ) -> None:
-        self._observe = observe
+    def __init__(self, now: Callable[[], timedelta]) -> None:
         self._now = now
         self._mean: MovingRatio | None = None
 
@@ -38,6 +34,12 @@
         """Return the mean in multiples of the default, if there is one."""
         return {} if self._mean is None else {TASK_CPU: self._mean.value}
 
+    @property
+    def cpu_millis(self) -> float:
+        """Return the mean in milli-CPUs, a default before the first request."""
+        ratio = 1.0 if self._mean is None else self._mean.ratio
+        return ratio * DEFAULT_TASK_CPU_MILLIS
+
     def observe(self, needs: Resources) -> None:
         """Update the average with the resources of a requested task."""
         size = max(1, needs.cpu_millis) / DEFAULT_TASK_CPU_MILLIS
@@ -49,7 +51,6 @@
             repeats = PROBATION_WEIGHT
         for _ in range(repeats):
             self._mean.ratio += TASK_SIZE_SMOOTHING * (size - self._mean.ratio)
-            self._observe(needs)
         self._mean.record(self._now())
 
     def adopt(self, sizes: Mapping[str, LearnedValue]) -> list[LearnedValue]:
@@ -58,7 +59,6 @@
         if value is None or self._mean is not None:
             return []
         self._mean = adopted(value)
-        self._observe(Resources(round(value.ratio * DEFAULT_TASK_CPU_MILLIS)))
         return [value]
 
 
--- a/tests/pool/test_durations.py
+++ b/tests/pool/test_durations.py
@@ -16,7 +16,7 @@
 from brasstray.pool.load_sharing import SLOT_SIZE_MARGIN, LoadSharing
 from brasstray.pool.placement import choose_minion
 from brasstray.pool.task_registry import TaskRegistry
-from brasstray.pool.task_size import TaskSize
+from brasstray.pool.task_size import TASK_SIZE_SMOOTHING, TaskSize
 
 QUEUE = "q"
 MINIONS = [MinionKey(f"m{number}") for number in range(8)]
@@ -162,11 +162,12 @@
         return NOW
 
 
-def sharing_of(free_minion):
+def sharing_of(free_minion, size):
     return LoadSharing(
         TaskRegistry(Clock(), NullObject()),
         lambda: [free_minion],
         durations(),
+        size,
         NullObject(),
         Clock(),
         NullObject(),
@@ -180,8 +181,8 @@
 
     Tasks of 6.8 cores are requested.
     """
-    sharing = sharing_of(minion("a", cpu=1_000_000))
-    size = TaskSize(sharing.observe_demand, lambda: NOW)
+    size = TaskSize(lambda: NOW)
+    sharing = sharing_of(minion("a", cpu=1_000_000), size)
     assert size.adopt({TASK_CPU: value(adopted)})
     expected_slots = 1_000 / (adopted * SLOT_SIZE_MARGIN)
     assert sharing.load().free_slots == pytest.approx(expected_slots, abs=1)
@@ -194,13 +195,14 @@
 
 def test_task_size_without_an_adopted_one_is_learned_as_before():
     """Guard against a change where nothing was adopted."""
-    observed = []
-    size = TaskSize(observed.append, lambda: NOW)
+    size = TaskSize(lambda: NOW)
     assert size.learned == {}
     requests = [Resources(cpu, 64) for cpu in (1_000, 6_800, 500)]
+    mean = requests[0].cpu_millis
     for needs in requests:
+        mean += TASK_SIZE_SMOOTHING * (needs.cpu_millis - mean)
         size.observe(needs)
-    assert observed == requests
+        assert size.cpu_millis == pytest.approx(mean)
     assert size.learned[TASK_CPU].count == 3
     assert size.adopt({TASK_CPU: value(3.0)}) == []
 
