Expect the end of an overdue run later, the longer it is overdue

A run that hung was expected to end at once, so a late task waited for its minion for as long as it hung: 5 s in the test, while a slow minion was free. Ruled out: projecting from the percent alone, as 0% gives no duration. Tests: tests/pool/test_uneven_doubts.py test_task_does_not_wait_for_a_run_that_hangs (2 failed before, pass now), and test_task_waits_for_a_run_that_is_just_due (passes before and now).

--- a/src/brasstray/pool/finish_time.py
+++ b/src/brasstray/pool/finish_time.py
@@ -28,13 +28,18 @@
 
 
 def run_end(record: RunRecord, now: timedelta) -> timedelta | None:
-    """Return when `record` probably ends, by its progress; None if unknown."""
+    """Return when `record` probably ends, by its progress; None if unknown.
+
+    A run that is overdue is expected to take as long again as it is overdue: it may
+    hang.
+    """
     if not record.expected:
         return None
     lasts = record.expected
     if record.percent:
         lasts = (record.progress.moved_at - record.began) * 100 / record.percent
-    return max(now, record.began + lasts)
+    end = record.began + lasts
+    return end if end >= now else now + (now - end)
 
 
 def room_at(
