Begin a failed task elsewhere on uneven minions too

Where a task ended in time, the weight of the slowness (up to 1) outweighed that of a minion to avoid (1), and a minion to avoid in time came before any other that was late. A task that had failed on a minion 4 or 10 times as slow as the middle one, or whose run had hung beside usual ones, began there again. A minion to avoid now counts like a cold one.

--- a/src/brasstray/pool/placement.py
+++ b/src/brasstray/pool/placement.py
@@ -112,7 +112,8 @@
         entry = minion.entry
         lasts = durations.expected(step, entry.key, entry.labels)
         fit = _fit_cost(task, minion, now)
-        if lasts <= (step.due - now) * TIME_USED and not minion.is_cold(now):
+        in_doubt = entry.key in task.avoided or minion.is_cold(now)
+        if lasts <= (step.due - now) * TIME_USED and not in_doubt:
             kept = durations.slowness(entry.key) / outlook.slowest
             in_time.append((fit - kept, minion))
         else:
