Do not wait for a minion that has the most runs of a step

A task with max_per_minion waited for room on a busy minion where a longer run of its own step forbade the start. Test: tests/pool/test_uneven_doubts.py test_task_does_not_wait_where_its_step_has_the_most_runs (failed before, passes now).

--- a/src/brasstray/pool/minion.py
+++ b/src/brasstray/pool/minion.py
@@ -110,6 +110,12 @@
             for record in self.runs.values()
         )
 
+    def runs_of(self, step: StepTasks) -> int:
+        """Return how many runs of tasks of `step` are here, wanted or not."""
+        return sum(
+            name.batch == step.batch and name.step == step.step for name, _ in self.runs
+        )
+
     def add(self, record: RunRecord) -> None:
         """Count `record` against the capacity."""
         self.runs[record.name, record.run] = record
--- a/src/brasstray/pool/outlook.py
+++ b/src/brasstray/pool/outlook.py
@@ -118,7 +118,9 @@
         return False
     if entry.service != step.service or not step.needs.fits(entry.capacity):
         return False
-    return not step.label or step.label in entry.labels
+    if step.label and step.label not in entry.labels:
+        return False
+    return not step.max_per_minion or minion.runs_of(step) < step.max_per_minion
 
 
 __all__ = ["Outlook"]
--- a/src/brasstray/pool/placement.py
+++ b/src/brasstray/pool/placement.py
@@ -140,13 +140,8 @@
         return False
     if step.label and step.label not in entry.labels:
         return False
-    if step.max_per_minion:
-        same_step_runs = sum(
-            name.batch == step.batch and name.step == step.step
-            for name, _ in minion.runs
-        )
-        if same_step_runs >= step.max_per_minion:
-            return False
+    if step.max_per_minion and minion.runs_of(step) >= step.max_per_minion:
+        return False
     return minion.usable(now)
 
 
