Bound the wait of a task for a faster minion

A late task waited for a busy minion again at each dispatch, while more urgent tasks took the room each time and a slow minion was free: without end in the test test_late_task_starts_though_more_urgent_ones_take_the_fast_minion (failed, passes now). It now waits for at most what the fastest minion would save, from its arrival on.

--- a/src/brasstray/pool/outlook.py
+++ b/src/brasstray/pool/outlook.py
@@ -88,7 +88,7 @@
         if self._reservations >= MAX_RESERVATIONS:
             return None
         step = task.parent_step
-        least = self._durations.expected(step, None, ()) * self._fastest
+        least = self.shortest(step)
         best: tuple[Minion, timedelta] | None = None
         for minion, ends in self._busy:
             if best is not None and ends[0].at + least >= best[1]:
@@ -105,6 +105,10 @@
                 best = minion, end
         return best
 
+    def shortest(self, step: StepTasks) -> timedelta:
+        """Return the expected duration of a task of `step` on the fastest minion."""
+        return self._durations.expected(step, None, ()) * self._fastest
+
     def reserve(self, step: StepTasks, minion: Minion) -> None:
         """Record that a task of `step` waits for `minion`."""
         reserved = self._reserved.get(minion, 0)
--- a/src/brasstray/pool/placement.py
+++ b/src/brasstray/pool/placement.py
@@ -124,6 +124,10 @@
         return None
     best = min(late, key=itemgetter(0))[1]
     lasts = durations.expected(step, best.entry.key, best.entry.labels)
+    if now - step.arrived >= lasts - outlook.shortest(step):
+        # It has waited for as long as the fastest minion would have saved: others have
+        # taken the room.
+        return best
     awaited = outlook.first_end(task)
     if awaited is not None and awaited[1] - now < lasts * TIME_USED:
         outlook.reserve(step, awaited[0])
