Name an invalid learned value without following it into its depth

A frame may hold shared references (CBOR tags 28 and 29). A list that holds one list three times, forty deep, takes 464 bytes, and its text 3^40 parts: the host that named why it left the value out did not come back within 120 s. One that holds itself, or is 300 deep, decodes as well. Only one level of a list is now shown.

--- a/src/brasstray/pool/learned_encoding.py
+++ b/src/brasstray/pool/learned_encoding.py
@@ -108,14 +108,14 @@
     )
 
 
-def _shown(value: object) -> str:
-    """Return the start of `value` as text; it may be large."""
+def _shown(value: object, depth: int = 1) -> str:
+    """Return the start of `value` as text; it may be large, deep or contain itself."""
     if isinstance(value, int) and value.bit_length() > _SHOWN_BITS:
         return "huge number"
     if isinstance(value, (int, float, str)):
         return str(value)[:MAX_KEY_LENGTH]
-    if isinstance(value, list) and len(value) <= 3:
-        return f"[{', '.join(map(_shown, value))}]"
+    if depth and isinstance(value, list) and len(value) <= 3:
+        return f"[{', '.join(_shown(part, depth - 1) for part in value)}]"
     return type(value).__name__
 
 
