Let the count of a learned value fade, and its ratio stay finite

A run counted an idle value as if all its runs were new: one of count 20 that was six half-lives old had count 20 again after one run, and so was told to other data centres as certain. Old runs now count by their freshness.

Tasks of 1 ms, where no run is expected to take less than 5 ms, lowered a ratio without end: after 30000 runs it was so near zero that a remote value made it infinite, and the expected duration could not be computed. It now stops at 1e-6.

--- a/src/brasstray/pool/moving_ratio.py
+++ b/src/brasstray/pool/moving_ratio.py
@@ -6,11 +6,14 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from brasstray.pool.learned_merge import freshness
 from brasstray.pool.learned_values import MAX_COUNT, LearnedValue
 
 # An observation counts as at most this multiple of what was expected, so that a hung
 # run does not make its minion or queue look slow for long.
 MAX_RATIO = 4.0
+# A ratio below this could only be the result of runs shorter than any expected duration.
+MIN_RATIO = 1e-6
 # An adopted value is corrected fast for this many observations, by up to this share of
 # the error each: an adopted value that is wrong must not last for longer.
 PROBATION = 10
@@ -51,11 +54,14 @@
             self.ratio *= math.exp(max(weight, fast) * error)
         else:
             self.ratio *= 1 + weight * (observed - 1)
+        # Runs shorter than any expected duration would lower it without end.
+        self.ratio = max(self.ratio, MIN_RATIO)
         self.record(now)
 
     def record(self, now: timedelta) -> None:
-        """Count an observation that was made at `now`."""
-        self.count = min(self.count + 1, MAX_COUNT)
+        """Count an observation that was made at `now`; old ones count less."""
+        left = self.count * freshness(self.value, now)
+        self.count = min(math.ceil(left) + 1, MAX_COUNT)
         self.learned_at = now
 
 
@@ -64,4 +70,4 @@
     return MovingRatio(value.ratio, value.count, value.learned_at, PROBATION)
 
 
-__all__ = ["MAX_RATIO", "PROBATION", "MovingRatio", "adopted"]
+__all__ = ["MAX_RATIO", "MIN_RATIO", "PROBATION", "MovingRatio", "adopted"]
