Count a remote value of a queue once, however often it is reported

Each report merged the remote value into the result of the last merge: with two own runs, 30 reports of 2.0 gave 1.89 instead of 1.64, with four 1.74 instead of 1.47. The merge now starts from the owner's value as it was before. An owner also adopted each queue name that others reported, 10240 names after 40 reports; it stops at the limit of a table.

--- a/src/brasstray/pool/durations.py
+++ b/src/brasstray/pool/durations.py
@@ -6,14 +6,14 @@
 from typing import TYPE_CHECKING
 
 from brasstray.pool.learned_merge import merge_remote
-from brasstray.pool.learned_values import LearnedValues
+from brasstray.pool.learned_table import MAX_QUEUES
+from brasstray.pool.learned_values import LearnedValue, LearnedValues
 from brasstray.pool.moving_ratio import MAX_RATIO, MovingRatio, adopted
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
     from brasstray.job.ids import MinionKey
-    from brasstray.pool.learned_values import LearnedValue
     from brasstray.pool.step_tasks import StepTasks
 
 # Weight of one run in the moving averages.
@@ -39,6 +39,8 @@
         self._now = now
         self._by_queue: dict[str, MovingRatio] = {}
         self._by_minion: dict[str, MovingRatio] = {}
+        # Values of queues before remote ones were merged into them.
+        self._own_values: dict[str, LearnedValue] = {}
 
     @property
     def learned(self) -> LearnedValues:
@@ -103,15 +105,35 @@
 
         Return the values that were used.
         """
-        used = []
+        used, now = [], self._now()
         for queue, remote in queues.items():
-            own = self._by_queue.get(queue)
-            value = None if own is None else own.value
-            merged = merge_remote(value, remote, self._now())
+            mean = self._by_queue.get(queue)
+            if mean is None and len(self._by_queue) >= MAX_QUEUES:
+                continue
+            own = self._own_value(queue, now)
+            in_force = own.ratio if mean is None else mean.ratio
+            merged = merge_remote(own, remote, now, in_force)
             if merged is not None:
+                self._own_values[queue] = own
                 self._by_queue[queue] = adopted(merged)
                 used.append(remote)
         return used
 
+    def _own_value(self, queue: str, now: timedelta) -> LearnedValue:
+        """Return the value of `queue` before a remote one was merged into it.
+
+        After a run it is the merged one, of which the run has corrected a part.
+        """
+        mean = self._by_queue.get(queue)
+        if mean is None:
+            return LearnedValue(1.0, 0, now)
+        own = self._own_values.get(queue)
+        if own is not None and (own.count, own.learned_at) == (
+            mean.count,
+            mean.learned_at,
+        ):
+            return own
+        return mean.value
+
 
 __all__ = ["MAX_RATIO", "Durations"]
--- a/src/brasstray/pool/learned_merge.py
+++ b/src/brasstray/pool/learned_merge.py
@@ -69,12 +69,16 @@
 
 
 def merge_remote(
-    own: LearnedValue | None, remote: LearnedValue, now: timedelta
+    own: LearnedValue | None,
+    remote: LearnedValue,
+    now: timedelta,
+    in_force: float | None = None,
 ) -> LearnedValue | None:
-    """Return the value to use in place of `own`, None if that stays in force.
+    """Return the value to use in place of `own`, None if the one in force stays.
 
-    A value of another data centre only counts until enough runs were observed here, and
-    adds nothing to the count: else it would return to where it came from as new.
+    `in_force` is the ratio that is used now, if it is not that of `own`. A value of
+    another data centre only counts until enough runs were observed here, and adds
+    nothing to the count: else it would return to where it came from as new.
     """
     own = LearnedValue(1.0, 0, now) if own is None else own
     own_count = own.count * freshness(own, now)
@@ -84,9 +88,10 @@
     remote_count = faded.count * REMOTE_WEIGHT
     remote_share = remote_count / (own_count + remote_count)
     change = remote_share * math.log(faded.ratio / own.ratio)
-    if abs(change) < MIN_DIFFERENCE:
+    ratio = own.ratio * math.exp(change)
+    if abs(math.log(ratio / (in_force or own.ratio))) < MIN_DIFFERENCE:
         return None
-    return replace(own, ratio=own.ratio * math.exp(change))
+    return replace(own, ratio=ratio)
 
 
 __all__ = [
--- a/src/brasstray/pool/moving_ratio.py
+++ b/src/brasstray/pool/moving_ratio.py
@@ -12,7 +12,7 @@
 # An observation counts as at most this multiple of what was expected, so that a hung
 # run does not make its minion or queue look slow for long.
 MAX_RATIO = 4.0
-# A ratio below this could only be the result of runs shorter than any expected duration.
+# Only runs shorter than any expected duration could lower a ratio to this.
 MIN_RATIO = 1e-6
 # An adopted value is corrected fast for this many observations, by up to this share of
 # the error each: an adopted value that is wrong must not last for longer.
@@ -54,7 +54,6 @@
             self.ratio *= math.exp(max(weight, fast) * error)
         else:
             self.ratio *= 1 + weight * (observed - 1)
-        # Runs shorter than any expected duration would lower it without end.
         self.ratio = max(self.ratio, MIN_RATIO)
         self.record(now)
 
