Tell hosts of a value that is right again, if any was told the wrong one

A value within 10% of the default was never sent on a link that had not carried it. A host that an earlier owner, or an earlier link, told that a minion is slow kept that after the owner had found otherwise, and started from it when it took over. Where nothing was told, nothing more is sent.

--- a/src/brasstray/host/learned_feed.py
+++ b/src/brasstray/host/learned_feed.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -12,7 +12,7 @@
 from brasstray.peer.message.successors import Successors
 from brasstray.pool.learned_encoding import decode_values, encode_values
 from brasstray.pool.learned_merge import of_pool, start_values
-from brasstray.pool.learned_report import SentValues
+from brasstray.pool.learned_report import SentValues, ToldNames
 from brasstray.pool.learned_table import LearnedTable, best_remote
 
 if TYPE_CHECKING:
@@ -40,7 +40,7 @@
     """Hold what was sent on a link, and when."""
 
     at: timedelta
-    sent: SentValues = field(default_factory=SentValues)
+    sent: SentValues
 
 
 class LearnedFeed:
@@ -69,6 +69,7 @@
         self._events = events
         self._tables: dict[PoolId, LearnedTable] = {}
         self._reports: dict[RequesterLink, _LinkReports] = {}
+        self._told = ToldNames()
         self._owner: PoolOwner | None = None
 
     # The local owner
@@ -86,6 +87,7 @@
         keys = None if minions is None else {entry.key for entry in minions}
         table = self._table(self._pool)
         table.token = owner.token
+        self._told = ToldNames(set(table.minions), set(table.queues), set(table.sizes))
         learned = of_pool(table.values, keys)
         values = start_values(learned, now)
         owner.adopt(values)
@@ -116,6 +118,7 @@
         if owner is None or not links:
             return
         learned = owner.learned
+        self._told.keep(learned)
         successors = rank_successors(self._links.powers)
         for link in links:
             self._report_to(link, owner, learned, successors)
@@ -139,7 +142,8 @@
         now = self._clock.monotonic()
         reports = self._reports.get(link)
         if reports is None:
-            reports = self._reports[link] = _LinkReports(now - REPORT_INTERVAL)
+            sent = SentValues(self._told)
+            reports = self._reports[link] = _LinkReports(now - REPORT_INTERVAL, sent)
         if now - reports.at < REPORT_INTERVAL:
             return
         if not succeeds:
--- a/tests/host/test_learned_feed_faults.py
+++ b/tests/host/test_learned_feed_faults.py
@@ -132,7 +132,7 @@
 
 @pytest.mark.parametrize("token", [6, 7])
 def test_former_owner_never_overrules_a_newer_one(token):
-    """Guard against a host that was suspended as the owner and reports on its return."""
+    """Guard against a suspended owner that reports on its return."""
     host = Host("b")
     host.directory.token = 7
     host.feed.receive(POOL, 7, REPORT)
@@ -187,3 +187,16 @@
         host.now += timedelta(seconds=2)
         host.feed.report_to(link)
     assert link.sent == []
+
+
+def test_names_that_were_told_are_dropped_with_their_minions():
+    """Guard against memory that grows with each minion that ever was slow."""
+    host, link = Host("a"), Link("b")
+    owner = host.own(7)
+    host.links.append(link)
+    for number in range(20):
+        host.now += REPORT_INTERVAL
+        owner.learned = LearnedValues({f"m@{number}": value(3.0, now=host.now)})
+        host.feed._report()
+    assert len(link.sent) == 20
+    assert len(host.feed._told.minions) == 1
