Clear the log lines of earlier tests before counting those of learned values

The test failed after tests that log an adoption, as eliot passes buffered lines to the first destination; run alone, it passed. It is as strict as before.

--- a/tests/host/test_learned_events.py
+++ b/tests/host/test_learned_events.py
@@ -23,13 +23,14 @@
     log = EventLog(PoolMetrics(MeterProvider([reader]).get_meter("test")))
     lines = []
     add_destinations(lines.append)
+    # The first destination is passed the lines of earlier tests as well.
+    lines.clear()
     try:
         log.values_adopted("edge-1", 7, timedelta(seconds=3))
         for reason in ("m0: [-5000, 1, 0]", "m0: [-5000, 1, 0]", "replaced owner"):
             log.values_ignored("edge-2", 1, reason)
     finally:
         remove_destination(lines.append)
-    # Lines of earlier tests may be passed on as well.
     [adopted] = _lines_of(lines, "values_adopted")
     ignored = _lines_of(lines, "values_ignored")
     assert (adopted["source"], adopted["values"]) == ("edge-1", 7)
