--- a/tests/pool/test_learned_faults.py
+++ b/tests/pool/test_learned_faults.py
@@ -9,16 +9,17 @@
 import pytest
 from tests.pool.learned import NOW, value
 from tests.pool.test_durations import MINIONS, QUEUE, run
-from tests.pool.test_placement import ms, step
+from tests.pool.test_placement import minion, ms, step
 
 from brasstray.batch.ids import FencingToken
 from brasstray.peer.pool_messages import decode_frame
 from brasstray.pool.durations import Durations
 from brasstray.pool.learned_encoding import decode_values
-from brasstray.pool.learned_merge import HALF_LIFE
+from brasstray.pool.learned_merge import HALF_LIFE, start_values
 from brasstray.pool.learned_table import MAX_QUEUES, LearnedTable, best_remote
 from brasstray.pool.learned_values import LearnedValues
 from brasstray.pool.moving_ratio import MovingRatio
+from brasstray.pool.placement import choose_minion
 
 
 class Times:
@@ -110,3 +111,33 @@
     learner.adopt_remote({QUEUE: value(2.0, now=times.now)})
     assert math.isfinite(learner.ratio(task, MINIONS[0], ()))
     assert learner.expected(task, MINIONS[0], ()) < timedelta(seconds=1)
+
+
+@pytest.mark.parametrize("gap", [30, 120], ids=["half-a-minute", "two-minutes"])
+def test_count_of_an_unused_value_fades_over_many_takeovers(gap):
+    """Guard against takeovers in a row that keep a value certain for ever.
+
+    In three hours without a run, a value of twenty runs is worth none.
+    """
+    started = LearnedValues({}, {QUEUE: value(4.0)})
+    for second in range(gap, 3 * 3_600, gap):
+        started = start_values(started, NOW + timedelta(seconds=second))
+    assert QUEUE not in started.queues
+
+
+def test_healed_minion_is_tried_again_though_others_are_free():
+    """Guard against a minion that nobody uses because it was slow hours ago.
+
+    One task at a time runs for six hours; each of two minions has room.
+    """
+    times = Times()
+    learner = Durations(1.0, times)
+    learner.adopt(LearnedValues({"healed": value(3.0)}))
+    minions, used = [minion("healed"), minion("other")], set()
+    for _ in range(360):
+        times.now += timedelta(minutes=1)
+        task = step(estimate=60)
+        found = choose_minion(task.waiting[0], minions, learner, times.now)
+        used.add(found.entry.id)
+        run(learner, found.entry.key, 1.0)
+    assert "healed" in used
