Fade the task size of another data centre, and keep it out of the own count

An owner without a mean took the size of another data centre whole, at any age and with its count, and passed it on as its own: two data centres without requests could hand it back and forth. It now counts as a remote value of a queue does.

--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -213,7 +213,7 @@
     def adopt_remote(self, values: LearnedValues) -> list[LearnedValue]:
         """Use what other data centres learned where little is known here; return it."""
         used = self._durations.adopt_remote(values.queues)
-        return used + self._task_size.adopt(values.sizes)
+        return used + self._task_size.adopt_remote(values.sizes)
 
     # Membership
 
--- a/src/brasstray/pool/task_size.py
+++ b/src/brasstray/pool/task_size.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from brasstray.batch.resources import Resources
-from brasstray.pool.learned_values import TASK_CPU
+from brasstray.pool.learned_merge import fade
+from brasstray.pool.learned_values import MIN_OWN_COUNT, TASK_CPU
 from brasstray.pool.load_sharing import DEFAULT_TASK_CPU_MILLIS, TASK_SIZE_SMOOTHING
 from brasstray.pool.moving_ratio import MovingRatio, adopted
 
@@ -61,5 +63,18 @@
         self._observe(Resources(round(value.ratio * DEFAULT_TASK_CPU_MILLIS)))
         return [value]
 
+    def adopt_remote(self, sizes: Mapping[str, LearnedValue]) -> list[LearnedValue]:
+        """Start from what is left of a mean of another data centre, if there is none.
+
+        It adds nothing to the count: else it would return to where it came from as new.
+        """
+        value = sizes.get(TASK_CPU)
+        if value is None:
+            return []
+        faded = fade(value, self._now())
+        if faded.count < MIN_OWN_COUNT:
+            return []
+        return self.adopt({TASK_CPU: replace(faded, count=0)}) and [value]
+
 
 __all__ = ["TaskSize"]
--- a/tests/pool/test_learned_faults.py
+++ b/tests/pool/test_learned_faults.py
@@ -17,9 +17,10 @@
 from brasstray.pool.learned_encoding import decode_values
 from brasstray.pool.learned_merge import HALF_LIFE, start_values
 from brasstray.pool.learned_table import MAX_QUEUES, LearnedTable, best_remote
-from brasstray.pool.learned_values import LearnedValues
+from brasstray.pool.learned_values import TASK_CPU, LearnedValues
 from brasstray.pool.moving_ratio import MovingRatio
 from brasstray.pool.placement import choose_minion
+from brasstray.pool.task_size import TaskSize
 
 
 class Times:
@@ -141,3 +142,11 @@
         used.add(found.entry.id)
         run(learner, found.entry.key, 1.0)
     assert "healed" in used
+
+
+@pytest.mark.parametrize(("age", "used"), [(0, True), (3_600, False)])
+def test_remote_task_size_fades_and_is_not_passed_on_as_an_own_one(age, used):
+    """Guard against two data centres that pass a size back and forth for ever."""
+    size = TaskSize(lambda _: None, lambda: NOW)
+    assert bool(size.adopt_remote({TASK_CPU: value(6.8, age=age)})) is used
+    assert [found.count for found in size.learned.values()] == [0] * used
