Make the work of a review grow with the queue alone

Each rejection added up the work of all waiting steps for the time to come back, so a review that rejects most of its queue took time with the square of it; each waiting step added up all callers' shares; and alike steps behind a rejected one were planned again. The first two are added up once per review, the third is remembered.

--- a/src/brasstray/pool/caller_shares.py
+++ b/src/brasstray/pool/caller_shares.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
@@ -19,6 +20,19 @@
 UNEQUAL = 2.0
 
 
+@dataclass(frozen=True, slots=True)
+class _Sums:
+    """Hold sums over callers `at` a time, by priority.
+
+    `demand` is in cores, `mean_done` the mean of the callers in core seconds.
+    """
+
+    at: timedelta
+    differ: bool
+    demand: dict[int, float]
+    mean_done: dict[int, float]
+
+
 class CallerShares:
     """Hold the work requested by priority, and started by priority and by caller.
 
@@ -33,31 +47,32 @@
         self._demand: DecayedWork[tuple[int, str]] = DecayedWork(DEMAND_PERIOD)
         self._task_count: DecayedWork[int] = DecayedWork(DEMAND_PERIOD)
         self._task_time: DecayedWork[int] = DecayedWork(DEMAND_PERIOD)
+        # A review asks for the same sums for each waiting step.
+        self._sums: _Sums | None = None
 
     def record_demand(
         self, step: StepTasks, expected: timedelta, count: int, now: timedelta
     ) -> None:
         """Count `count` requested tasks."""
+        self._sums = None
         self._demand.add(_key(step), step.work(expected, count), now)
         self._task_count.add(step.priority, count, now)
         self._task_time.add(step.priority, count * expected.total_seconds(), now)
 
     def record_report(self, step: StepTasks, work: float, now: timedelta) -> None:
         """Record the work that the requester of `step` had done at its priority."""
+        self._sums = None
         self._by_caller.raise_to(_key(step), work, now)
 
     def record_start(self, step: StepTasks, work: float, now: timedelta) -> None:
         """Count work that is being started."""
+        self._sums = None
         self._by_caller.add(_key(step), work, now)
         self._by_priority.add(step.priority, work, now)
 
     def differ(self, now: timedelta) -> bool:
         """Return whether the priorities differ, or the demand of callers does."""
-        keys = self._demand.keys(now)
-        if len({priority for priority, _ in keys}) > 1:
-            return True
-        demand = [self._demand.get(key, now) for key in keys]
-        return bool(demand) and max(demand) > UNEQUAL * min(demand)
+        return self._sums_at(now).differ
 
     def done(self, step: StepTasks, now: timedelta) -> float:
         """Return the recent work for the caller of `step` at its priority."""
@@ -68,9 +83,7 @@
         own = self.done(step, now)
         if not own:
             return 1.0
-        callers = [k for k in self._demand.keys(now) if k[0] == step.priority]
-        total = sum(self._by_caller.get(key, now) for key in callers)
-        return total / max(1, len(callers)) / own
+        return self._sums_at(now).mean_done.get(step.priority, 0.0) / own
 
     def by_priority(self, now: timedelta) -> dict[int, float]:
         """Return the recently started work by priority."""
@@ -79,11 +92,8 @@
 
     def demand(self, lowest: int, now: timedelta) -> float:
         """Return the rate at which work up to `lowest` is requested, in cores."""
-        return sum(
-            self._demand.rate(key, now)
-            for key in self._demand.keys(now)
-            if key[0] <= lowest
-        )
+        demand = self._sums_at(now).demand
+        return sum(rate for priority, rate in demand.items() if priority <= lowest)
 
     def flows(self, now: timedelta) -> list[Flow]:
         """Return what is being requested, by priority."""
@@ -95,6 +105,26 @@
             found.append(Flow(priority, rate, duration))
         return found
 
+    def _sums_at(self, now: timedelta) -> _Sums:
+        if self._sums is None or self._sums.at != now:
+            self._sums = self._add_up(now)
+        return self._sums
+
+    def _add_up(self, now: timedelta) -> _Sums:
+        demand: dict[int, float] = {}
+        done: dict[int, list[float]] = {}
+        by_key = {key: self._demand.get(key, now) for key in self._demand.keys(now)}
+        for key in by_key:
+            rate = self._demand.rate(key, now)
+            demand[key[0]] = demand.get(key[0], 0.0) + rate
+            done.setdefault(key[0], []).append(self._by_caller.get(key, now))
+        means = {priority: sum(all_) / len(all_) for priority, all_ in done.items()}
+        amounts = by_key.values()
+        differ = len(demand) > 1 or (
+            bool(amounts) and max(amounts) > UNEQUAL * min(amounts)
+        )
+        return _Sums(now, differ, demand, means)
+
 
 def _key(step: StepTasks) -> tuple[int, str]:
     return step.priority, step.requester.name
--- a/src/brasstray/pool/capacity_forecast.py
+++ b/src/brasstray/pool/capacity_forecast.py
@@ -55,6 +55,8 @@
         self._arrived = arrived or [0] * len(flows)
         # Priorities and counts that find no slots; later forecasts are only fuller.
         self._unplaced = [] if unplaced is None else unplaced
+        # Rejected steps leave the forecast as it is, and many steps are alike.
+        self._known: dict[tuple[int, float, int], tuple[float, CapacityForecast]] = {}
         heapify(free_in)
 
     @property
@@ -74,6 +76,17 @@
 
         Tasks of more urgent flows that will have been requested by then start before.
         """
+        key = count, duration, priority
+        found = self._known.get(key)
+        if found is None:
+            found = self._place(count, duration, priority)
+            if found[0] != inf:
+                self._known[key] = found
+        return found
+
+    def _place(
+        self, count: int, duration: float, priority: int
+    ) -> tuple[float, CapacityForecast]:
         if any(priority >= p and count >= c for p, c in self._unplaced):
             return inf, self
         wanted = count
--- a/src/brasstray/pool/load_sharing.py
+++ b/src/brasstray/pool/load_sharing.py
@@ -62,6 +62,9 @@
         self._plan = ShortagePlan(durations, self._shares)
         self._waits: tuple[timedelta, ...] = ()
         self._cores = 0.0
+        # Both are read once per review: a review may reject every waiting step.
+        self._backlog = 0.0
+        self._capacity = 1
 
     @property
     def plan(self) -> ShortagePlan:
@@ -90,6 +93,7 @@
         self._waits = ()
         if not waiting_steps:
             return
+        self._measure_backlog()
         loads = self._others.loads()
         ahead = self._forecast(now)
         self._cores = ahead.slots * self._task_size.cpu_millis / 1_000
@@ -125,7 +129,6 @@
 
         Runs that are expected to take long may end early, so only waiting work counts.
         """
-        capacity = self._leased_cpu()
         wait = timedelta(0)
         for step in waiting_steps:
             expected = self._durations.expected(step, None, ())
@@ -136,7 +139,7 @@
             step.admitted = True
             # Later steps wait until the tasks of this one have ended.
             work = expected * len(step.waiting)
-            wait += work * step.needs.cpu_millis / max(1, capacity)
+            wait += work * step.needs.cpu_millis / self._capacity
 
     def _decide(
         self, planned: PlannedStep, loads: dict[PoolId, PoolLoad], now: timedelta
@@ -206,6 +209,7 @@
         here they would wait until their deadline. If no other pool is reachable or
         about to be, they are rejected at once.
         """
+        self._measure_backlog()
         loads = self._others.loads()
         for step in waiting_steps:
             if loads:
@@ -229,7 +233,7 @@
 
         The other pools are assumed to be as large as this one.
         """
-        return expected * step.needs.cpu_millis / max(1, self._leased_cpu())
+        return expected * step.needs.cpu_millis / self._capacity
 
     def _queue_at(
         self, step: StepTasks, pool: PoolId, loads: dict[PoolId, PoolLoad]
@@ -244,6 +248,7 @@
         )
 
     def _forward(self, step: StepTasks, count: int, pool: PoolId) -> None:
+        self._backlog -= self._work(step, count)
         tasks, step.waiting = step.waiting[-count:], step.waiting[:-count]
         for task in tasks:
             del step.tasks[task.name.index]
@@ -272,10 +277,11 @@
         evacuated = self._evacuated()
         # Nothing is known of waits beyond the horizon of the plan.
         known = wait if wait < NEVER else timedelta(seconds=HORIZON)
-        wait_ms = max(known // _MILLISECOND, self.load().wait_ms)
+        wait_ms = max(known // _MILLISECOND, 0 if evacuated else self._backlog_ms)
         indices = tuple(task.name.index for task in step.waiting)
         reason = self._rejection_reason(step, loads, evacuated=evacuated)
         self._events.rejected(step, len(indices), wait_ms, reason)
+        self._backlog -= self._work(step, len(indices))
         step.waiting.clear()
         for index in indices:
             del step.tasks[index]
@@ -307,15 +313,10 @@
         if self._evacuated():
             return PoolLoad()
         now = self._clock.monotonic()
-        waiting = sum(
-            step.work(self._durations.expected(step, None, ()), len(step.waiting))
-            for step in self._tasks.steps
-        )
-        if waiting:
+        self._measure_backlog()
+        if self._backlog:
             waits = tuple(wait // _MILLISECOND for wait in self._waits)
-            return PoolLoad(
-                0, round(1e6 * waiting / max(1, self._leased_cpu())), waits_ms=waits
-            )
+            return PoolLoad(0, self._backlog_ms, waits_ms=waits)
         slot_cpu = round(self._slot_cpu)
         usable = [m for m in self._minions() if m.usable(now)]
         free = sum(m.free_cpu_millis // slot_cpu for m in usable)
@@ -324,6 +325,21 @@
         next_free = self._forecast(now).next_free
         return PoolLoad(waits_ms=(round(1_000 * min(next_free, 1e5)),))
 
+    def _measure_backlog(self) -> None:
+        self._capacity = max(1, self._leased_cpu())
+        self._backlog = sum(
+            self._work(step, len(step.waiting))
+            for step in self._tasks.steps
+            if step.waiting
+        )
+
+    @property
+    def _backlog_ms(self) -> int:
+        return round(1e6 * self._backlog / self._capacity)
+
+    def _work(self, step: StepTasks, count: int) -> float:
+        return step.work(self._durations.expected(step, None, ()), count)
+
     @property
     def _slot_cpu(self) -> float:
         return self._task_size.cpu_millis * SLOT_SIZE_MARGIN
