Keep reviews to a quarter of an owner's time

Every request and the check every 20 ms asked for a review of all waiting steps. Where one takes 20 ms, an owner does nothing else: ends of runs are late, slots stay empty, and the queue grows. After a review, three times as long passes before the next one, 50 ms at most, so jobs are refused no later than that. Short reviews are as frequent as before.

--- a/src/brasstray/pool/dispatcher.py
+++ b/src/brasstray/pool/dispatcher.py
@@ -30,6 +30,10 @@
 # How long a computed load is reused: at most the interval between load reports to other
 # pools.
 LOAD_CACHE_TTL = timedelta(milliseconds=10)
+# Reviews take at most a quarter of the owner's time, as ends of runs must not wait for
+# them; but a job waits at most this long for one.
+PAUSE_PER_REVIEW = 3
+MAX_PAUSE = timedelta(milliseconds=50)
 
 
 class Dispatcher:
@@ -65,6 +69,7 @@
         self._wake = anyio.Event()
         self._changed = anyio.Event()
         self._review_due = False
+        self._next_review = timedelta(0)
         self._outlook: tuple[list[Minion], Outlook] | None = None
         self._load = PoolLoad()
         self._load_valid_until = timedelta(0)
@@ -118,18 +123,22 @@
             for minion in self._roster.minions
             if minion.free_cpu_millis >= min_cpu_millis and minion.usable(now)
         ]
+        # The owner's periodic check makes up for a review that is put off.
+        review = self._review_due and now >= self._next_review
         # Sorting a long queue after every run end while nothing can start would
         # saturate an overloaded owner.
-        if not minions and not self._review_due:
+        if not minions and not review:
             return
         waiting = self._sharing.plan.order(waiting, now)
         for step in waiting:
             self._start_tasks(step, minions, now)
-        if self._review_due:
+        if review:
             self._review_due = False
             self._sharing.forward_or_reject(
                 [step for step in waiting if step.waiting], now
             )
+            end = self._clock.monotonic()
+            self._next_review = end + min(MAX_PAUSE, PAUSE_PER_REVIEW * (end - now))
 
     def _start_tasks(
         self, step: StepTasks, minions: list[Minion], now: timedelta
