Let every part of a step say whether it may have begun or was forwarded

A step took both from the first message alone. Tasks that another pool returned can reach a new owner before the claims to those that its predecessor had started: the step then counted as new, and its rejection as "not run". Likewise a step of which the owner had a part was forwarded again with tasks that had been forwarded to it.

The three tests fail on the code before.

--- a/src/brasstray/pool/task_registry.py
+++ b/src/brasstray/pool/task_registry.py
@@ -56,6 +56,9 @@
         # A caller may submit a job again through another host while the first host is
         # alive. It remains one job, and the later host gets the answer.
         step.requester = requester
+        # Parts of a step may arrive in several ways: what is true of one is true of it.
+        step.begun |= _may_have_begun(message)
+        step.forwarded |= message.forwarded
         return step
 
     def find(self, name: TaskName) -> PoolTask | None:
@@ -160,8 +163,12 @@
         forwarded=message.forwarded,
         queue=message.queue,
         width=message.width,
-        begun=message.begun or message.claimed,
+        begun=_may_have_begun(message),
     )
 
 
+def _may_have_begun(message: RunTasks) -> bool:
+    return message.begun or message.claimed
+
+
 __all__ = ["TaskRegistry"]
--- a/tests/pool/test_task_registry.py
+++ b/tests/pool/test_task_registry.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import msgspec
 import pytest
 from tests.conftest import run_virtual
 from tests.pool.takeover import NullObject
@@ -81,3 +82,27 @@
 
     run_virtual(scenario)
     assert requester.messages == told
+
+
+@pytest.mark.parametrize("later", ["begun", "claimed"])
+def test_a_later_part_that_may_have_begun_marks_the_step(later):
+    # Guards against a job that is called not run though a previous owner has started
+    # it: tasks returned by another pool reach a new owner before the claims do.
+    async def add_both():
+        tasks = TaskRegistry(LoopClock(), NullObject())
+        tasks.get_or_add(Requester(), request(2))
+        part = msgspec.structs.replace(request(2), **{later: True})
+        return tasks.get_or_add(Requester(), part).begun
+
+    assert run_virtual(add_both)
+
+
+def test_a_later_part_that_was_forwarded_marks_the_step():
+    # Guards against tasks that two pools forward to each other.
+    async def add_both():
+        tasks = TaskRegistry(LoopClock(), NullObject())
+        tasks.get_or_add(Requester(), request(2))
+        part = msgspec.structs.replace(request(2), forwarded=True)
+        return tasks.get_or_add(Requester(), part).forwarded
+
+    assert run_virtual(add_both)
