--- a/tests/pool/test_uneven_known_doubts.py
+++ b/tests/pool/test_uneven_known_doubts.py
@@ -79,7 +79,10 @@
         {m.entry.id: 1.7 for m in slow} | {m.entry.id: 0.7 for m in fast}
     )
     tasks, roster, clock = NullObject(), NullObject(), Clock()
-    tasks.steps, roster.minions = [step(due=0, estimate=760)], minions
+    waiting = step(due=0, estimate=760)
+    waiting.requester = NullObject()
+    waiting.requester.last_contact = NOW
+    tasks.steps, roster.minions = [waiting], minions
     sharing = LoadSharing(
         tasks,
         lambda: minions,
