Count the last request before a restart as one that may extend leases

The session of an incarnation that is replaced by its entry is cancelled with a renewal in flight, which was not recorded as unanswered. Carried out 700 to 900 ms late by the next incarnation, it made two runs of a task at once (tests/pool/test_restart_leftovers.py). Tasks on a new incarnation that falls silent within 13 s of the last request to the earlier one are now returned with an unknown outcome.

--- a/src/brasstray/pool/lease_clock.py
+++ b/src/brasstray/pool/lease_clock.py
@@ -42,11 +42,13 @@
         """Return the clock of a later incarnation under the same id.
 
         It starts anew, as its leases do. Calls that had no response may extend leases
-        there as well.
+        there as well, and the last renewal or start may be one of them.
         """
         later = LeaseClock(self._timing)
-        later._unanswered = list(self._unanswered)
         later._extendable_until = self._extendable_until
+        if self._lease_requested:
+            # No unanswered call was sent after the last request.
+            later._extendable_until = self._last_request_at + MAX_EFFECT_DELAY
         later._last_request_at = self._last_request_at
         return later
 
