Send no start or renewal from a session that was replaced before its turn

The next session bars only the starts that it inherits, and the start was added to the earlier session's after that.

--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -378,6 +378,8 @@
             self._group.start_soon(self._renew)
 
     async def _renew(self) -> None:
+        if self._replaced:
+            return
         try:
             await self._probe(lease=True, wait=_NO_WAIT)
         except (MinionNoResponseError, MinionGoneError, FencedError):
@@ -401,6 +403,9 @@
         self._group.start_soon(self._stop, record)
 
     async def _start(self, record: RunRecord, spec: str) -> None:
+        if self._replaced:
+            # The run was moved to the next session, which stops it.
+            return
         sent = self._clock.monotonic()
         until = self._lease.next_lease_until(sent, self._renewal_limit.until)
         key = (record.name, record.run)
