Confirm the ownership again before the task of a late start is queued

The store was asked when the leases ended, up to 13 s before, or never if the incarnation had not answered. One more call to the store for each minion with such starts.

--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -236,7 +236,7 @@
                     await self._probe(lease=False, wait=_NO_WAIT)
             except MinionNoResponseError:
                 if expired or self._minion.reach is Reachability.UNPROBED:
-                    self._expire_late_starts()
+                    await self._expire_late_starts()
                 if expired:
                     await self._clock.sleep(pause)
                     pause = min(pause * 2, MAX_PROBE_BACKOFF)
@@ -286,12 +286,25 @@
         sent = self._unanswered_starts.get(key)
         return self._lease.all_expired_at() if sent is None else sent + MAX_EFFECT_DELAY
 
-    def _expire_late_starts(self) -> None:
-        """End the runs that no incarnation can have or begin any more."""
-        if self._minion.runs and self._minion.entry.born is not None:
-            kept = self._late_runs(self._clock.monotonic())
-            if len(kept) < len(self._minion.runs):
-                self._owner.end_runs_on(self._minion, gone=False, kept=kept)
+    async def _expire_late_starts(self) -> None:
+        """End the runs that no incarnation can have or begin any more.
+
+        The ownership was confirmed seconds ago, or not at all if this session's
+        incarnation has never answered.
+        """
+        if self._minion.entry.born is None:
+            return
+        answers = self._answer_count
+        now = self._clock.monotonic()
+        kept = self._late_runs(now)
+        if len(kept) == len(self._minion.runs):
+            return
+        lease_snapshot = self._lease.lease_snapshot(now)
+        certain = await self._owner.confirm_ownership()
+        if self._answer_count == answers:
+            self._owner.expire_runs_on(
+                self._minion, lease_snapshot, certain=certain, kept=kept
+            )
 
     async def _probe_throttled(self) -> None:
         """Probe the minion within the limit on concurrent first calls."""
