Use a minion at a new address although its clock was set back

Its entry was taken for an old one until a reply came, and none comes from the earlier address. An entry with an earlier start now counts if the known incarnation is unreachable and holds nothing.

--- a/src/brasstray/pool/roster.py
+++ b/src/brasstray/pool/roster.py
@@ -108,10 +108,21 @@
                 session.minion.update_entry(replace(entry, born=known), now)
             case Incarnation.LATER:
                 self._replace(session, entry, SeenIn.ENTRY)
+            case Incarnation.EARLIER if self._is_abandoned(session, now):
+                # No reply can show that its clock was set back if its address changed.
+                self._replace(session, entry, SeenIn.ENTRY)
             case Incarnation.EARLIER:
                 # The list lags behind what the minion has replied.
                 return
 
+    def _is_abandoned(self, session: MinionSession, now: timedelta) -> bool:
+        minion = session.minion
+        return (
+            minion.reach is Reachability.UNREACHABLE
+            and not minion.runs
+            and not session.may_start_late(now)
+        )
+
     def _replace(
         self, session: MinionSession, entry: MinionEntry, seen_in: SeenIn
     ) -> None:
