Let starts be carried out late by a minion's next start, in the drawn orders

With the guard for late starts on silent minions taken out, or with unlisted runs ended together with their minion, all 150 orders still passed: no start was carried out by an incarnation while its owner did not reach it. A third of the orders do this now; either mutation fails some groups of the ten (RESTART_ORDERS=120, fewer orders so that they take no more than 15 s).

--- a/tests/pool/restart_orders.py
+++ b/tests/pool/restart_orders.py
@@ -165,8 +165,8 @@
         calls.cut.discard(minion_id)
 
 
-async def run_order(pool, seed):
+async def run_order(pool, seed, kind=RestartOrder):
     """Play one drawn order; return what was played."""
-    order = RestartOrder(pool, Random(f"restarts {seed}"))
+    order = kind(pool, Random(f"restarts {seed}"))
     await order.run()
     return order
--- a/tests/pool/test_restart_leftovers.py
+++ b/tests/pool/test_restart_leftovers.py
@@ -32,8 +32,8 @@
     assert not later.may_be_extended(ms(14_000))
 
 
-# Guards against the same second run: the renewal arrives when the next start is cut off,
-# just before its lease ends.
+# Guards against the same second run: the renewal arrives when the next start is cut
+# off, just before its lease ends.
 @pytest.mark.parametrize("late_ms", range(700, 1_300, 50))
 def test_renewal_of_before_that_arrives_late_makes_no_second_run(late_ms):
     async def scenario(pool):
--- a/tests/pool/test_restart_orders.py
+++ b/tests/pool/test_restart_orders.py
@@ -6,11 +6,12 @@
 from datetime import timedelta
 
 import pytest
-from tests.pool.restart_orders import TASK_COUNT, TICK, run_order
+from tests.pool.late_start_orders import LateStartOrder
+from tests.pool.restart_orders import TASK_COUNT, TICK, RestartOrder, run_order
 from tests.pool.takeover import run_takeover
 
 # More seeds are run by hand.
-ORDER_COUNT = int(os.environ.get("RESTART_ORDERS", "150"))
+ORDER_COUNT = int(os.environ.get("RESTART_ORDERS", "120"))
 GROUP_COUNT = 10
 DURATIONS = (60, 400, 2_000)
 
@@ -25,7 +26,8 @@
     for seed in range(group, ORDER_COUNT, GROUP_COUNT):
 
         async def scenario(pool, seed=seed):
-            return await run_order(pool, seed)
+            kind = LateStartOrder if seed % 3 == 0 else RestartOrder
+            return await run_order(pool, seed, kind)
 
         duration = timedelta(milliseconds=DURATIONS[seed % len(DURATIONS)])
         pool, order = run_takeover(scenario, 2, duration=duration, tick=TICK)
