Do not call it a shortage if a step is late whatever the capacity

A step that lost its first run with a minion is past its objective even on a free slot. Steps count only if waiting makes them late. Figures and verdicts of tests/pool/test_shortage.py are the same before and after.

--- a/src/brasstray/pool/shortage.py
+++ b/src/brasstray/pool/shortage.py
@@ -136,13 +136,15 @@
     def detect(
         self, ordered: list[StepTasks], forecast: CapacityForecast, now: timedelta
     ) -> bool:
-        """Return whether some waiting step will miss its objective; if so, take over.
+        """Return whether waiting makes some step miss its objective; if so, take over.
 
-        `ordered` is in the order in which the steps are to start.
+        `ordered` is in the order in which the steps are to start. Steps that would be
+        late on a free slot as well do not count.
         """
         for step in ordered:
             planned, forecast = self.plan_step(step, forecast)
-            if now + planned.wait + planned.expected > step.due:
+            soonest = now + planned.expected
+            if soonest <= step.due < soonest + planned.wait:
                 self._shortage_until = now + SHORTAGE_HOLD
                 return True
         return False
