--- a/tests/pool/test_shortage.py
+++ b/tests/pool/test_shortage.py
@@ -147,14 +147,30 @@
     assert all(abs(share - mean) <= FAIR * mean for share in shares)
 
 
-def test_the_successor_of_an_owner_continues_the_order():
-    # Guards against callers that starve, or jobs that are called not run though they
-    # have started, when an owner dies in the middle of a shortage.
-    async def kill_owner(system):
-        await system.clock.sleep(timedelta(seconds=2))
-        system.kill(system.owner(0))
+async def kill_owner(system):
+    await system.clock.sleep(timedelta(seconds=2))
+    system.kill(system.owner(0))
+
+
+async def kill_both_owners(system):
+    await system.clock.sleep(timedelta(seconds=2))
+    for centre in range(SIZE.data_centres):
+        system.kill(system.owner(centre))
+
 
-    mix = run_virtual(lambda: play((2, 2, 2), equal, kill_owner), SCHEDULE_SEED)
+async def kill_owner_beside_an_evacuation(system):
+    await system.clock.sleep(timedelta(seconds=2))
+    system.evacuate("dc1")
+    system.kill(system.owner(0))
+
+
+@pytest.mark.parametrize(
+    "fail", [kill_owner, kill_both_owners, kill_owner_beside_an_evacuation]
+)
+def test_the_successor_of_an_owner_continues_the_order(fail):
+    # Guards against callers that starve, or jobs that are called not run though they
+    # have started, when owners die in the middle of a shortage.
+    mix = run_virtual(lambda: play((2, 2, 2), equal, fail), SCHEDULE_SEED)
     started = {task.batch for task in mix.system.book.starts}
     assert not started & {a.batch for a in mix.answers if a.refused}
     assert mix.system.book.broken == []
