--- a/src/brasstray/pool/shortage.py
+++ b/src/brasstray/pool/shortage.py
@@ -142,15 +142,17 @@
     ) -> bool:
         """Return whether there is a shortage, which lasts for a while then.
 
-        Some waiting step will miss its objective, and more work is requested than
+        Waiting makes some step miss its objective, and more work is requested than
         `cores` can do: what is late for another reason catches up by itself. `ordered`
-        is in the order in which the steps are to start.
+        is in the order in which the steps are to start. Steps that would be late on a
+        free slot as well do not count.
         """
         if self._shares.total_demand(now) < cores:
             return False
         for step in ordered:
             planned, forecast = self.plan_step(step, forecast)
-            if now + planned.wait + planned.expected > step.due:
+            soonest = now + planned.expected
+            if soonest <= step.due < soonest + planned.wait:
                 self._shortage_until = now + SHORTAGE_HOLD
                 return True
         return False
