--- a/src/brasstray/pool/caller_shares.py
+++ b/src/brasstray/pool/caller_shares.py
@@ -118,8 +118,10 @@
         demand: dict[int, float] = {}
         done: dict[int, list[float]] = {}
         by_key = {key: self._demand.get(key, now) for key in self._demand.keys(now)}
-        for key in by_key:
-            rate = self._demand.rate(key, now)
+        for key, amount in by_key.items():
+            # Not the rate since the first job of a caller: one large job of a kind that
+            # comes rarely would look like a burst.
+            rate = amount / DEMAND_PERIOD.total_seconds()
             demand[key[0]] = demand.get(key[0], 0.0) + rate
             done.setdefault(key[0], []).append(self._by_caller.get(key, now))
         means = {priority: sum(all_) / len(all_) for priority, all_ in done.items()}
--- a/src/brasstray/pool/load_sharing.py
+++ b/src/brasstray/pool/load_sharing.py
@@ -187,8 +187,12 @@
 
         A job of which nothing has run is rejected if it cannot end while its answer is
         useful, so that its caller need not wait for that. A job that is spread over
-        several pools or has begun is continued as long as its caller waits.
+        several pools or has begun is continued as long as its caller waits; without a
+        shortage, also if the estimates say that it will end too late, as work already
+        done on it would be lost.
         """
+        if step.begun and not self._plan.active(self._clock.monotonic()):
+            return False
         return end > (
             step.limit if step.partial else min(step.useful_until, step.limit)
         )
--- a/src/brasstray/pool/shortage.py
+++ b/src/brasstray/pool/shortage.py
@@ -25,6 +25,8 @@
 # The part of its slack that a new step may be planned to wait, as a plan is a mean and
 # more urgent work comes in bursts. The most urgent work has nothing ahead.
 ROOM_PART = 0.8
+# With more demand than this part of the capacity, late answers would soon be of no use.
+DEEP_SHORTAGE = 1.3
 # A shortage is over once, for this long, all waiting work could meet its objective.
 SHORTAGE_HOLD = timedelta(seconds=1)
 # The wait for a pool without minions.
@@ -160,14 +162,14 @@
     def room(self, planned: PlannedStep, cores: float, now: timedelta) -> timedelta:
         """Return how long a new step may wait in a shortage to be admitted.
 
-        While `cores` suffice for its priority and all higher ones, a late answer costs
-        nobody else his, and comes sooner than one to a job that is sent again. Else the
-        step must end on time. A caller for whom more was done than for the others is
-        left less of the queue, so that shares become equal however hard one of them
-        pushes.
+        While its priority and the higher ones exceed `cores` by little, a late answer
+        comes sooner than one to a job that is sent again, and what would be on time
+        goes first. Else the step must end on time. A caller for whom more was done than
+        for the others is left less of the queue, so that shares become equal however
+        hard one of them pushes.
         """
         step = planned.step
-        fits = self._shares.demand(step.priority, now) < cores * (1 - FLOOR)
+        fits = self._shares.demand(step.priority, now) < cores * DEEP_SHORTAGE
         latest_end = step.useful_until if fits else step.due
         slack = min(latest_end, step.limit) - now - planned.expected
         if fits:
