--- a/src/brasstray/pool/dispatcher.py
+++ b/src/brasstray/pool/dispatcher.py
@@ -13,6 +13,7 @@
 from brasstray.pool.pool_load import PoolLoad
 from brasstray.pool.pool_task import TaskPhase
 from brasstray.pool.run_record import RunRecord, RunState
+from brasstray.pool.start_limit import StartLimit
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -26,6 +27,7 @@
     from brasstray.pool.roster import Roster
     from brasstray.pool.step_tasks import StepTasks
     from brasstray.pool.task_registry import TaskRegistry
+    from brasstray.pool.timing import PoolTiming
 
 # How long a computed load is reused: at most the interval between load reports to other
 # pools.
@@ -54,12 +56,14 @@
         durations: Durations,
         sharing: LoadSharing,
         clock: Clock,
+        timing: PoolTiming,
         events: OwnerEvents,
         may_start: Callable[[], bool],
         evacuated: Callable[[], bool],
     ) -> None:
         self._tasks = tasks
         self._roster = roster
+        self._start_limit = StartLimit(roster, timing)
         self._durations = durations
         self._sharing = sharing
         self._clock = clock
@@ -144,6 +148,7 @@
         self, step: StepTasks, minions: list[Minion], now: timedelta
     ) -> None:
         outlook = self._outlook_for(minions, now)
+        minions = self._start_limit.allowed(step, minions, now)
         awaiting = []
         while step.waiting:
             task, reserved = step.waiting[0], outlook.reservations
--- a/src/brasstray/pool/outlook.py
+++ b/src/brasstray/pool/outlook.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from functools import cached_property
+from math import ceil
 from statistics import median
 from typing import TYPE_CHECKING
 
@@ -20,6 +21,8 @@
 
 # Minions that differ by less make no job late, as objectives leave that much time.
 UNEVEN_RATIO = 1.5
+# At least this part of the minions must differ: a few that ran long tasks seem slow.
+UNEVEN_PART = 0.2
 # Bounds the work of one dispatch. Where more tasks wait than this, there is too little
 # capacity, and slow minions have to be used as well.
 MAX_RESERVATIONS = 16
@@ -48,13 +51,14 @@
 
     @cached_property
     def uneven(self) -> bool:
-        """Return whether a minion differs much from the middle one in speed."""
+        """Return whether a part of the minions differs much from the middle one."""
         if not self._slownesses:
             return False
-        middle = median(self._slownesses)
+        ordered = sorted(self._slownesses)
+        middle, count = median(ordered), ceil(len(ordered) * UNEVEN_PART)
         return (
-            self.slowest > middle * UNEVEN_RATIO
-            or self._fastest * UNEVEN_RATIO < middle
+            ordered[-count] > middle * UNEVEN_RATIO
+            or ordered[count - 1] * UNEVEN_RATIO < middle
         )
 
     @cached_property
@@ -88,7 +92,7 @@
         if self._reservations >= MAX_RESERVATIONS:
             return None
         step = task.parent_step
-        least = self._durations.expected(step, None, ()) * self._fastest
+        least = self.shortest(step)
         best: tuple[Minion, timedelta] | None = None
         for minion, ends in self._busy:
             if best is not None and ends[0].at + least >= best[1]:
@@ -105,6 +109,10 @@
                 best = minion, end
         return best
 
+    def shortest(self, step: StepTasks) -> timedelta:
+        """Return the expected duration of a task of `step` on the fastest minion."""
+        return self._durations.expected(step, None, ()) * self._fastest
+
     def reserve(self, step: StepTasks, minion: Minion) -> None:
         """Record that a task of `step` waits for `minion`."""
         reserved = self._reserved.get(minion, 0)
@@ -118,7 +126,9 @@
         return False
     if entry.service != step.service or not step.needs.fits(entry.capacity):
         return False
-    return not step.label or step.label in entry.labels
+    if step.label and step.label not in entry.labels:
+        return False
+    return not step.max_per_minion or minion.runs_of(step) < step.max_per_minion
 
 
 __all__ = ["Outlook"]
--- a/src/brasstray/pool/placement.py
+++ b/src/brasstray/pool/placement.py
@@ -112,7 +112,8 @@
         entry = minion.entry
         lasts = durations.expected(step, entry.key, entry.labels)
         fit = _fit_cost(task, minion, now)
-        if lasts <= (step.due - now) * TIME_USED and not minion.is_cold(now):
+        in_doubt = entry.key in task.avoided or minion.is_cold(now)
+        if lasts <= (step.due - now) * TIME_USED and not in_doubt:
             kept = durations.slowness(entry.key) / outlook.slowest
             in_time.append((fit - kept, minion))
         else:
@@ -123,6 +124,10 @@
         return None
     best = min(late, key=itemgetter(0))[1]
     lasts = durations.expected(step, best.entry.key, best.entry.labels)
+    if now - step.arrived >= lasts - outlook.shortest(step):
+        # It has waited for as long as the fastest minion would have saved: others have
+        # taken the room.
+        return best
     awaited = outlook.first_end(task)
     if awaited is not None and awaited[1] - now < lasts * TIME_USED:
         outlook.reserve(step, awaited[0])
@@ -139,13 +144,8 @@
         return False
     if step.label and step.label not in entry.labels:
         return False
-    if step.max_per_minion:
-        same_step_runs = sum(
-            name.batch == step.batch and name.step == step.step
-            for name, _ in minion.runs
-        )
-        if same_step_runs >= step.max_per_minion:
-            return False
+    if step.max_per_minion and minion.runs_of(step) >= step.max_per_minion:
+        return False
     return minion.usable(now)
 
 
