--- a/tests/pool/test_review_cost.py
+++ b/tests/pool/test_review_cost.py
@@ -20,6 +20,7 @@
 from brasstray.pool.load_sharing import LoadSharing
 from brasstray.pool.pool_load import PoolLoad
 from brasstray.pool.task_size import TaskSize
+from brasstray.pool.timing import PoolTiming
 
 MINIONS = 10
 
@@ -43,6 +44,7 @@
 @dataclass
 class Host:
     name: str = "a"
+    last_contact: timedelta = NOW + timedelta(seconds=10)
 
     def send(self, message):
         pass
@@ -135,11 +137,12 @@
 def dispatcher_with(clock, sharing):
     roster = type("Roster", (), {"minions": []})()
     return Dispatcher(
-        Tasks([step()]),
+        Tasks([step(requester=Host())]),
         roster,
         Durations(1.0),
         sharing,
         clock,
+        PoolTiming(),
         Events(),
         lambda: True,
         lambda: False,
