--- a/src/brasstray/pool/caller_shares.py
+++ b/src/brasstray/pool/caller_shares.py
@@ -95,9 +95,15 @@
         demand = self._sums_at(now).demand
         return sum(rate for priority, rate in demand.items() if priority <= lowest)
 
-    def total_demand(self, now: timedelta) -> float:
-        """Return the rate at which work is requested, in cores."""
-        return sum(self._sums_at(now).demand.values())
+    def demand_beside(
+        self, step: StepTasks, expected: timedelta, now: timedelta
+    ) -> float:
+        """Return the rate at which other work than `step` is requested, in cores.
+
+        A job that is large for its pool is no burst by itself.
+        """
+        own = step.work(expected, len(step.tasks)) / DEMAND_PERIOD.total_seconds()
+        return sum(self._sums_at(now).demand.values()) - own
 
     def flows(self, now: timedelta) -> list[Flow]:
         """Return what is being requested, by priority."""
--- a/src/brasstray/pool/load_sharing.py
+++ b/src/brasstray/pool/load_sharing.py
@@ -134,7 +134,7 @@
             expected = self._durations.expected(step, None, ())
             if not step.forwarded:
                 self._fill_free_slots(step, loads)
-            if step.waiting and self._misses_deadline(step, now + wait + expected):
+            if step.waiting and self._misses_deadline(step, now, wait, expected):
                 self._reject(step, wait, loads)
             step.admitted = True
             # Later steps wait until the tasks of this one have ended.
@@ -180,22 +180,24 @@
         step = planned.step
         if not step.partial and not step.admitted:
             return planned.wait > self._plan.room(planned, self._cores, now)
-        return self._misses_deadline(step, now + planned.wait + planned.expected)
+        return self._misses_deadline(step, now, planned.wait, planned.expected)
 
-    def _misses_deadline(self, step: StepTasks, end: timedelta) -> bool:
-        """Return whether `step`, which would end at `end`, should be rejected.
+    def _misses_deadline(
+        self, step: StepTasks, now: timedelta, wait: timedelta, expected: timedelta
+    ) -> bool:
+        """Return whether `step`, which has to `wait`, should be rejected.
 
         A job of which nothing has run is rejected if it cannot end while its answer is
-        useful, so that its caller need not wait for that. A job that is spread over
-        several pools or has begun is continued as long as its caller waits; without a
-        shortage, also if the estimates say that it will end too late, as work already
-        done on it would be lost.
+        useful, so that its caller need not wait for that. A job that has begun is given
+        up only if it would end too late without any wait: waits are estimates, and the
+        work already done on it would be lost. One that is spread over several pools is
+        continued as long as its caller waits.
         """
-        if step.begun and not self._plan.active(self._clock.monotonic()):
-            return False
-        return end > (
-            step.limit if step.partial else min(step.useful_until, step.limit)
-        )
+        end = now + expected
+        if step.begun:
+            return end > step.limit
+        latest = step.limit if step.partial else min(step.useful_until, step.limit)
+        return end + wait > latest
 
     def _fill_free_slots(self, step: StepTasks, loads: dict[PoolId, PoolLoad]) -> None:
         """Forward tasks of `step` to free slots, in the pool with the most first."""
@@ -219,7 +221,7 @@
             if loads:
                 self._fill_free_slots(step, loads)
                 self._queue_elsewhere(step, loads)
-            elif not self._others.any_connectable() or self._misses_deadline(step, now):
+            elif not self._others.any_connectable() or now > step.limit:
                 self._reject(step, timedelta(0), loads)
 
     def _queue_elsewhere(self, step: StepTasks, loads: dict[PoolId, PoolLoad]) -> None:
--- a/src/brasstray/pool/shortage.py
+++ b/src/brasstray/pool/shortage.py
@@ -25,7 +25,8 @@
 # The part of its slack that a new step may be planned to wait, as a plan is a mean and
 # more urgent work comes in bursts. The most urgent work has nothing ahead.
 ROOM_PART = 0.8
-# With more demand than this part of the capacity, late answers would soon be of no use.
+# With more demand than this multiple of the capacity, late answers would soon be of no
+# use. With less, they are until a burst of a second or two is over.
 DEEP_SHORTAGE = 1.3
 # A shortage is over once, for this long, all waiting work could meet its objective.
 SHORTAGE_HOLD = timedelta(seconds=1)
@@ -144,17 +145,19 @@
     ) -> bool:
         """Return whether there is a shortage, which lasts for a while then.
 
-        Waiting makes some step miss its objective, and more work is requested than
-        `cores` can do: what is late for another reason catches up by itself. `ordered`
-        is in the order in which the steps are to start. Steps that would be late on a
-        free slot as well do not count.
+        Waiting makes some step miss its objective, and far more other work is requested
+        than `cores` can do: a small or short excess catches up by itself, and late
+        answers come sooner than those to jobs that are sent again. `ordered` is in the
+        order in which the steps are to start. Steps that would be late on a free slot
+        as well do not count.
         """
-        if self._shares.total_demand(now) < cores:
-            return False
         for step in ordered:
             planned, forecast = self.plan_step(step, forecast)
             soonest = now + planned.expected
-            if soonest <= step.due < soonest + planned.wait:
+            if not soonest <= step.due < soonest + planned.wait:
+                continue
+            others = self._shares.demand_beside(step, planned.expected, now)
+            if others >= cores * DEEP_SHORTAGE:
                 self._shortage_until = now + SHORTAGE_HOLD
                 return True
         return False
@@ -162,20 +165,15 @@
     def room(self, planned: PlannedStep, cores: float, now: timedelta) -> timedelta:
         """Return how long a new step may wait in a shortage to be admitted.
 
-        While its priority and the higher ones exceed `cores` by little, a late answer
-        comes sooner than one to a job that is sent again, and what would be on time
-        goes first. Else the step must end on time. A caller for whom more was done than
-        for the others is left less of the queue, so that shares become equal however
-        hard one of them pushes.
+        It must end on time. A caller for whom more was done than for the others is left
+        less of the queue, so that shares become equal however hard one of them pushes.
         """
         step = planned.step
-        fits = self._shares.demand(step.priority, now) < cores * DEEP_SHORTAGE
-        latest_end = step.useful_until if fits else step.due
-        slack = min(latest_end, step.limit) - now - planned.expected
-        if fits:
-            return slack
+        slack = min(step.due, step.limit) - now - planned.expected
         if step.priority > MOST_URGENT:
             slack *= ROOM_PART
+        if self._shares.demand(step.priority, now) < cores * (1 - FLOOR):
+            return slack
         return slack * min(1.0, self._shares.mean_to_own(step, now)) ** FAIRNESS
 
 
