Let operators ask for the order under shortage, and mend slow claims

Living callers keep their runs when claims come slowly after a silent owner, or two owners fail beside an orphaned run: a state says how old the heartbeat is that it acknowledges, orphans without a claimed run beside them are stopped later, others earlier.

--- a/spec/resend_timing.py
+++ b/spec/resend_timing.py
@@ -44,7 +44,10 @@
     orphan_timeout: int
     orphan_lifetime: int | None
     stop_lead: int
+    last_stop_lead: int
     min_claim_time: int
+    quick_claim_time: int
+    renewal_lead: int
     stop_time: int
     give_up_delay: int
     resend: int
@@ -65,7 +68,10 @@
         orphan_timeout=_ticks(pool.orphan_timeout + pool.recovery_timeout),
         orphan_lifetime=_ticks(pool.orphan_lifetime),
         stop_lead=pool.stop_lead // TICK,
+        last_stop_lead=pool.last_stop_lead // TICK,
         min_claim_time=_ticks(pool.min_claim_time),
+        quick_claim_time=_ticks(pool.quick_claim_time),
+        renewal_lead=pool.call_timeout // TICK,
         stop_time=_ticks(pool.stop_time),
         give_up_delay=give_up_delay // TICK,
         resend=RESEND // TICK,
@@ -107,7 +113,7 @@
     s: State, intervals: Intervals, *, stops_lost: bool
 ) -> Iterator[tuple[str, State]]:
     """Yield the events possible now, and the passing of one tick."""
-    if s.age >= intervals.give_up_delay + intervals.resend or not s.orphan:
+    if s.age >= intervals.give_up_delay + intervals.resend:
         return
     if s.queued:
         yield from _queued_steps(s, intervals)
@@ -122,7 +128,12 @@
         yield "the neighbour is claimed", s._replace(claimed=True)
     if s.owner == "none" or s.claimed or s.tenure < intervals.min_claim_time:
         yield "a tick passes", _tick(s, intervals, stop_lost=False)
-        if stops_lost and s.stop_left is None and _is_stop_due(s, intervals):
+        if (
+            stops_lost
+            and s.orphan
+            and s.stop_left is None
+            and _is_stop_due(s, intervals)
+        ):
             yield "a tick passes, a stop is lost", _tick(s, intervals, stop_lost=True)
 
 
@@ -149,18 +160,32 @@
         # The runs of a host whose link closes after a silence continue until then.
         return aged
     waited = s.tenure >= intervals.orphan_timeout
-    return waited or (aged and s.tenure >= intervals.min_claim_time)
+    if waited or not aged or s.tenure < _min_claim_time(s, intervals):
+        return waited
+    # Where no run is claimed, an early stop would serve none.
+    return s.claimed and s.age < lifetime - intervals.renewal_lead
+
+
+def _min_claim_time(s: State, intervals: Intervals) -> int:
+    """Return how long claims are awaited, less if a stop would come too late."""
+    left = (intervals.orphan_lifetime or 0) - intervals.last_stop_lead
+    left -= s.age - s.tenure
+    if left < intervals.quick_claim_time:
+        return intervals.min_claim_time
+    return min(left, intervals.min_claim_time)
 
 
 def _tick(s: State, intervals: Intervals, *, stop_lost: bool) -> State:
     stop = None if s.stop_left is None else max(0, s.stop_left - 1)
-    if stop is None and not stop_lost and _is_stop_due(s, intervals):
+    if s.orphan and stop is None and not stop_lost and _is_stop_due(s, intervals):
         stop = intervals.stop_time
     lease = max(0, s.lease_left - 1)
     if s.owner != "none":
         lease = max(lease, _renewed_lease(s, intervals))
     # A run that is being stopped ends at the end of its stop, not with its lease.
     orphan = s.orphan and stop != 0 and (lease > 0 or stop is not None)
+    if not orphan:
+        stop = None
     return State(
         s.owner,
         s.age + 1,
@@ -176,9 +201,12 @@
 
 
 def _renewed_lease(s: State, intervals: Intervals) -> int:
-    """Return the longest lease that an owner requests while the orphan is there."""
+    """Return the longest lease that an owner requests.
+
+    A later owner knows no contact of the neighbour before its claim.
+    """
     lifetime = intervals.orphan_lifetime
-    if lifetime is None:
+    if lifetime is None or (not s.orphan and s.claimed):
         return intervals.lease
     return min(intervals.lease, lifetime - s.age - 1)
 
--- a/src/brasstray/daemon/pool_daemon.py
+++ b/src/brasstray/daemon/pool_daemon.py
@@ -106,6 +106,7 @@
             HostTiming(pool=pool_timing(settings.minions)),
             settings.minions.remote_factor,
             section.known_data_centres,
+            prioritize=settings.shortage.prioritize,
         )
         self._job_server = HttpServer(JobApp(self._host))
         self._readiness_server = HttpServer(ReadyApp(self._host))
--- a/src/brasstray/host/coordinator_contact.py
+++ b/src/brasstray/host/coordinator_contact.py
@@ -36,10 +36,13 @@
     def record_state(self, state: PoolState) -> None:
         """Record the report of an owner, counted from the heartbeat it acknowledges.
 
-        The report itself may have been delayed on the way.
+        The report itself may have been delayed on the way. The owner received the
+        heartbeat and the contact on the same clock, so a contact that came after the
+        heartbeat counts as more recent.
         """
         if state.contact_age_ms is not None and state.acknowledged_ms is not None:
-            contact_ms = state.acknowledged_ms - state.contact_age_ms
+            created_ms = state.acknowledged_ms + state.acknowledged_age_ms
+            contact_ms = created_ms - state.contact_age_ms
             last_contact = contact_ms * _MILLISECOND
             if self._last_contact is None or last_contact > self._last_contact:
                 self._last_contact = last_contact
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -67,11 +67,14 @@
         timing: HostTiming,
         remote_factor: float,
         data_centres: frozenset[DataCentreName] = frozenset(),
+        *,
+        prioritize: bool = False,
     ) -> None:
         self._identity = identity
         self._dependencies = dependencies
         self._timing = timing
         self._remote_factor = remote_factor
+        self._prioritize = prioritize
         self._clock = clock = dependencies.clock
         self._events = events = dependencies.events
         self._operator_state = OperatorState(
@@ -332,6 +335,7 @@
             self._minion_feed.last_known_minions,
             lambda: self._evacuations.is_evacuated(self._pool),
             contact_age,
+            prioritize=self._prioritize,
         )
         self._learned.start_tenure(owner, self._minion_feed.last_known_minions)
         self._events.pool_taken(self._pool, owned.token, "claimed", contact_age)
--- a/src/brasstray/host/requester_link.py
+++ b/src/brasstray/host/requester_link.py
@@ -23,6 +23,8 @@
     from brasstray.peer.message_stream import MessageStream
     from brasstray.peer.pool_messages import PoolMessage
 
+_MILLISECOND = timedelta(milliseconds=1)
+
 
 class RequesterLink:
     """Receive the requests of one host, and send it task results and pool states."""
@@ -48,6 +50,7 @@
         self._state_interval = timing.heartbeat_interval
         self._last_contact = clock.monotonic()
         self._heartbeat_ms: int | None = None
+        self._heartbeat_at = clock.monotonic()
 
     @property
     def name(self) -> str:
@@ -82,14 +85,18 @@
 
     def record_hello(self, hello: Hello) -> None:
         """Record the identity of the host at the other end."""
-        self._heartbeat_ms = hello.sent_ms
+        self._record_heartbeat(hello.sent_ms)
         self._name = str(hello.host)
         self._power = hello.power
         self._data_centre = data_centre_of(hello.incarnation)
 
     def record_ping(self, ping: Ping) -> None:
         """Record a heartbeat, which the next state sent to the host acknowledges."""
-        self._heartbeat_ms = ping.sent_ms
+        self._record_heartbeat(ping.sent_ms)
+
+    def _record_heartbeat(self, sent_ms: int | None) -> None:
+        self._heartbeat_ms = sent_ms
+        self._heartbeat_at = self._clock.monotonic()
 
     def set_heartbeat_rate(self, frequent: bool) -> None:
         """Set whether heartbeats go out at the normal or at the slow interval."""
@@ -109,7 +116,13 @@
 
     def send_state(self) -> None:
         """Send which pool this host owns, and its load; this is the heartbeat."""
-        self._channel.send(replace(self._state(), acknowledged_ms=self._heartbeat_ms))
+        heartbeat_age = self._clock.monotonic() - self._heartbeat_at
+        state = replace(
+            self._state(),
+            acknowledged_ms=self._heartbeat_ms,
+            acknowledged_age_ms=heartbeat_age // _MILLISECOND,
+        )
+        self._channel.send(state)
 
     def _handle_message(self, message: PoolMessage) -> None:
         self._last_contact = self._clock.monotonic()
--- a/src/brasstray/peer/message/pool_state.py
+++ b/src/brasstray/peer/message/pool_state.py
@@ -23,8 +23,9 @@
     host to take over the pool.
 
     `contact_age_ms` is the age of the oldest last contact between the owner and the
-    coordinator of any run in the pool. It is counted from when this state was created,
-    so at the earliest from the heartbeat whose `sent_ms` is `acknowledged_ms`.
+    coordinator of any run in the pool, counted from when this state was created. By
+    then, the heartbeat whose `sent_ms` is `acknowledged_ms` had arrived
+    `acknowledged_age_ms` ago, rounded down.
 
     `learned` is what the owner has learned about queues since its last report, in the
     encoding of pool/learned_encoding.py. It is not typed here, as an invalid value must
@@ -42,6 +43,7 @@
     evacuations: EvacuationSet = UNREAD_EVACUATIONS
     contact_age_ms: int | None = None
     acknowledged_ms: int | None = None
+    acknowledged_age_ms: int = 0
     learned: Any = None
     waits_ms: tuple[int, ...] = ()
 
--- a/src/brasstray/pool/caller_shares.py
+++ b/src/brasstray/pool/caller_shares.py
@@ -95,16 +95,6 @@
         demand = self._sums_at(now).demand
         return sum(rate for priority, rate in demand.items() if priority <= lowest)
 
-    def demand_beside(
-        self, step: StepTasks, expected: timedelta, now: timedelta
-    ) -> float:
-        """Return the rate at which other work than `step` is requested, in cores.
-
-        A job that is large for its pool is no burst by itself.
-        """
-        own = step.work(expected, len(step.tasks)) / DEMAND_PERIOD.total_seconds()
-        return sum(self._sums_at(now).demand.values()) - own
-
     def flows(self, now: timedelta) -> list[Flow]:
         """Return what is being requested, by priority."""
         found = []
@@ -124,10 +114,8 @@
         demand: dict[int, float] = {}
         done: dict[int, list[float]] = {}
         by_key = {key: self._demand.get(key, now) for key in self._demand.keys(now)}
-        for key, amount in by_key.items():
-            # Not the rate since the first job of a caller: one large job of a kind that
-            # comes rarely would look like a burst.
-            rate = amount / DEMAND_PERIOD.total_seconds()
+        for key in by_key:
+            rate = self._demand.rate(key, now)
             demand[key[0]] = demand.get(key[0], 0.0) + rate
             done.setdefault(key[0], []).append(self._by_caller.get(key, now))
         means = {priority: sum(all_) / len(all_) for priority, all_ in done.items()}
--- a/src/brasstray/pool/load_sharing.py
+++ b/src/brasstray/pool/load_sharing.py
@@ -37,7 +37,10 @@
 
 
 class LoadSharing:
-    """Forward or reject the tasks that no minion of the pool has capacity for."""
+    """Forward or reject the tasks that no minion of the pool has capacity for.
+
+    With `prioritize`, priorities and the shares of callers decide in a shortage.
+    """
 
     def __init__(
         self,
@@ -49,6 +52,8 @@
         clock: Clock,
         events: OwnerEvents,
         evacuated: Callable[[], bool],
+        *,
+        prioritize: bool = False,
     ) -> None:
         self._tasks = tasks
         self._minions = minions
@@ -58,6 +63,7 @@
         self._clock = clock
         self._events = events
         self._evacuated = evacuated
+        self._prioritize = prioritize
         self._shares = CallerShares()
         self._plan = ShortagePlan(durations, self._shares)
         self._waits: tuple[timedelta, ...] = ()
@@ -95,11 +101,14 @@
             return
         self._measure_backlog()
         loads = self._others.loads()
+        if not self._prioritize:
+            self._review_as_usual(waiting_steps, loads, now)
+            return
         ahead = self._forecast(now)
         self._cores = ahead.slots * self._task_size.cpu_millis / 1_000
         next_free = min(NEVER, timedelta(seconds=min(ahead.next_free, 1e5)))
         was_active = self._plan.active(now)
-        if self._plan.detect(waiting_steps, ahead, self._cores, now) and not was_active:
+        if self._plan.detect(waiting_steps, ahead, now) and not was_active:
             waiting_steps = self._plan.order(waiting_steps, now)
         if self._plan.active(now):
             ahead = self._forecast(now, self._shares.flows(now))
--- a/src/brasstray/pool/minion.py
+++ b/src/brasstray/pool/minion.py
@@ -140,6 +140,11 @@
         task.last_run = max(task.last_run, record.run)
         task.parent_step.begun = True
 
+    @property
+    def has_tasks(self) -> bool:
+        """Return whether a run here belongs to a task that this owner knows."""
+        return any(record.task is not None for record in self.runs.values())
+
     @property
     def oldest_contact(self) -> timedelta:
         """Return the earliest last contact with the coordinator of any run here."""
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -76,6 +76,8 @@
         inherited: Iterable[MinionEntry] | None,
         evacuated: Callable[[], bool] = lambda: False,
         contact_age: timedelta | None = None,
+        *,
+        prioritize: bool = False,
     ) -> None:
         self._pool = pool
         self._token = token
@@ -133,6 +135,7 @@
             clock,
             events,
             evacuated,
+            prioritize=prioritize,
         )
         self._lag = LoopLag()
         self._first_call_limiter = anyio.Semaphore(MAX_CONCURRENT_FIRST_CALLS)
--- a/src/brasstray/pool/recovery.py
+++ b/src/brasstray/pool/recovery.py
@@ -9,10 +9,14 @@
 
 from brasstray.pool.minion import Reachability
 from brasstray.pool.pool_task import TaskPhase
+from brasstray.pool.run_record import RunState
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from brasstray.batch.ids import PoolId
     from brasstray.clock.clock import Clock
+    from brasstray.pool.minion import Minion
     from brasstray.pool.owner_events import OwnerEvents
     from brasstray.pool.pool_task import PoolTask
     from brasstray.pool.roster import Roster
@@ -88,22 +92,46 @@
         """Stop orphaned runs after their timeout, even if no minion list can be read.
 
         Their caller may send the job again to another data centre, where the same tasks
-        would run beside them.
+        would run beside them. An early stop serves the leases of other runs on the
+        minion; where there are none, the orphaned runs may be claimed for longer.
         """
         timing = self._timing
         now = self._clock.monotonic()
         expiry = self._last_contact + timing.orphan_lifetime - timing.stop_lead
-        left = max(timing.min_claim_time, expiry - now)
-        with anyio.move_on_after(left.total_seconds()):
+        left = max(self._min_claim_time(now), expiry - now)
+        with anyio.move_on_after(left.total_seconds()) as scope:
             with anyio.move_on_after(timing.recovery_timeout.total_seconds()):
                 await self._recovered.wait()
             await self._clock.sleep(timing.orphan_timeout)
+        last_claim = self._last_contact + timing.orphan_lifetime - timing.call_timeout
+        while scope.cancelled_caught and self._clock.monotonic() < last_claim:
+            self._stop_unclaimed(lambda minion: minion.has_tasks)
+            await self._clock.sleep(_POLL_INTERVAL)
+        # A stop at the last moment would only let a run outlive its lease.
+        lease_end = self._last_contact + timing.orphan_lifetime
+        now = self._clock.monotonic()
+        if last_claim <= now < lease_end:
+            await self._clock.sleep(lease_end - now + _POLL_INTERVAL)
         self._claims_closed = True
+        self._stop_unclaimed(lambda _: True)
+
+    def _min_claim_time(self, now: timedelta) -> timedelta:
+        """Return the time for claims, less if a stop would come too late after it."""
+        timing = self._timing
+        last_stop = self._last_contact + timing.orphan_lifetime - timing.last_stop_lead
+        left = last_stop - now
+        if left < timing.quick_claim_time:
+            return timing.min_claim_time
+        return min(left, timing.min_claim_time)
+
+    def _stop_unclaimed(self, on: Callable[[Minion], bool]) -> None:
+        """Stop the orphaned runs on each minion for which `on` returns True."""
         orphans = [
             (session, record)
             for session in self._roster.sessions
+            if on(session.minion)
             for record in session.minion.runs.values()
-            if record.task is None
+            if record.task is None and record.state is RunState.ACTIVE
         ]
         if orphans:
             contact_age = self._clock.monotonic() - self._last_contact
--- a/src/brasstray/pool/shortage.py
+++ b/src/brasstray/pool/shortage.py
@@ -25,9 +25,6 @@
 # The part of its slack that a new step may be planned to wait, as a plan is a mean and
 # more urgent work comes in bursts. The most urgent work has nothing ahead.
 ROOM_PART = 0.8
-# With more demand than this multiple of the capacity, late answers would soon be of no
-# use. With less, they are until a burst of a second or two is over.
-DEEP_SHORTAGE = 1.3
 # A shortage is over once, for this long, all waiting work could meet its objective.
 SHORTAGE_HOLD = timedelta(seconds=1)
 # The wait for a pool without minions.
@@ -137,27 +134,17 @@
         return PlannedStep(step, wait, expected), after
 
     def detect(
-        self,
-        ordered: list[StepTasks],
-        forecast: CapacityForecast,
-        cores: float,
-        now: timedelta,
+        self, ordered: list[StepTasks], forecast: CapacityForecast, now: timedelta
     ) -> bool:
-        """Return whether there is a shortage, which lasts for a while then.
+        """Return whether waiting makes some step miss its objective; if so, take over.
 
-        Waiting makes some step miss its objective, and far more other work is requested
-        than `cores` can do: a small or short excess catches up by itself, and late
-        answers come sooner than those to jobs that are sent again. `ordered` is in the
-        order in which the steps are to start. Steps that would be late on a free slot
-        as well do not count.
+        `ordered` is in the order in which the steps are to start. Steps that would be
+        late on a free slot as well do not count.
         """
         for step in ordered:
             planned, forecast = self.plan_step(step, forecast)
             soonest = now + planned.expected
-            if not soonest <= step.due < soonest + planned.wait:
-                continue
-            others = self._shares.demand_beside(step, planned.expected, now)
-            if others >= cores * DEEP_SHORTAGE:
+            if soonest <= step.due < soonest + planned.wait:
                 self._shortage_until = now + SHORTAGE_HOLD
                 return True
         return False
--- a/src/brasstray/pool/timing.py
+++ b/src/brasstray/pool/timing.py
@@ -36,8 +36,9 @@
       to another data centre 1.3 s after its connection broke.
     - `stop_lead`: how long before the end of `orphan_lifetime` an orphaned run is
       stopped, so that the other leases on its minion can be renewed after its end.
+    - `last_stop_lead`: the same where an owner took over late: two calls and a stop.
     - `min_claim_time`: how long requesters have at least to claim runs from a new
-      owner.
+      owner, unless `last_stop_lead` leaves less, but at least `quick_claim_time`.
     - `requester_silence`: the silence after which a requester's tasks are stopped.
     - `list_interval`: how often the list of minions is read; a draining minion must get
       nothing new within 2 s.
@@ -59,8 +60,10 @@
     stop_time: timedelta = _ms(60)
     orphan_timeout: timedelta = _ms(400)
     orphan_lifetime: timedelta = _ms(1_240)
-    stop_lead: timedelta = _ms(200)
+    stop_lead: timedelta = _ms(350)
+    last_stop_lead: timedelta = _ms(140)
     min_claim_time: timedelta = _ms(150)
+    quick_claim_time: timedelta = _ms(30)
     requester_silence: timedelta = _ms(600)
     list_interval: timedelta = _ms(500)
     missing_grace: timedelta = _ms(3_000)
--- a/src/brasstray/settings/pool_settings.py
+++ b/src/brasstray/settings/pool_settings.py
@@ -77,6 +77,16 @@
         return self.share * self.speed
 
 
+class ShortageSection(msgspec.Struct, frozen=True, kw_only=True):
+    """Define what decides while demand exceeds the capacity.
+
+    With `prioritize`, the priorities of queues and equal shares for callers decide what
+    starts and what is rejected; otherwise, what is most urgent alone.
+    """
+
+    prioritize: bool = False
+
+
 class StopSection(msgspec.Struct, frozen=True, kw_only=True):
     """Define how long a host may take to exit after a stop signal, in seconds."""
 
@@ -91,6 +101,7 @@
     store: StoreSection
     processor: ProcessorSection
     minions: MinionsSection
+    shortage: ShortageSection
     stop: StopSection
 
 
@@ -99,6 +110,7 @@
     "store": StoreSection,
     "processor": ProcessorSection,
     "minions": MinionsSection,
+    "shortage": ShortageSection,
     "stop": StopSection,
 }
 
--- a/src/brasstray_standins/pool_system.py
+++ b/src/brasstray_standins/pool_system.py
@@ -75,6 +75,7 @@
     link_rate: float | None = None
     minion_clock_rate: float = 1.0
     slowdowns: tuple[float, ...] = (1.0,)
+    prioritize: bool = False
 
 
 class _StoreOperatorSource:
@@ -284,7 +285,14 @@
             EventLog(self.metrics),
         )
         centres = frozenset(map(DataCentreName, self.centres))
-        host = PoolHost(identity, dependencies, HostTiming(), 1.5, centres)
+        host = PoolHost(
+            identity,
+            dependencies,
+            HostTiming(),
+            1.5,
+            centres,
+            prioritize=self.size.prioritize,
+        )
         scope = anyio.CancelScope()
         running = RunningHost(host, calls, gate, scope, self.group)
         self.hosts[name] = running
--- a/tests/pool/test_learned_faults.py
+++ b/tests/pool/test_learned_faults.py
@@ -147,6 +147,6 @@
 @pytest.mark.parametrize(("age", "used"), [(0, True), (3_600, False)])
 def test_remote_task_size_fades_and_is_not_passed_on_as_an_own_one(age, used):
     """Guard against two data centres that pass a size back and forth for ever."""
-    size = TaskSize(lambda _: None, lambda: NOW)
+    size = TaskSize(lambda: NOW)
     assert bool(size.adopt_remote({TASK_CPU: value(6.8, age=age)})) is used
     assert [found.count for found in size.learned.values()] == [0] * used
--- a/tests/pool/test_review_cost.py
+++ b/tests/pool/test_review_cost.py
@@ -116,6 +116,7 @@
         clock,
         Events(),
         lambda: False,
+        prioritize=True,
     )
     for one in tasks.steps:
         sharing.observe_demand(one, Request())
--- a/tests/pool/test_short_hiccups.py
+++ b/tests/pool/test_short_hiccups.py
@@ -42,7 +42,7 @@
         return len(steps) - len(self.tasks.steps)
 
 
-def pool_with(steps):
+def pool_with(steps, *, prioritize=True):
     clock, durations = FakeClock(), Durations(1.0)
     minions = [minion(f"m{n}", cpu=8_000, used=8_000) for n in range(SLOTS)]
     tasks = Tasks(steps)
@@ -55,6 +55,7 @@
         clock,
         Events(),
         lambda: False,
+        prioritize=prioritize,
     )
     sharing._others.loads = dict
     return Pool(tasks, sharing, clock)
@@ -99,6 +100,14 @@
     assert pool_with([late_step(), *jobs(count)]).review() == 0
 
 
+@pytest.mark.parametrize("over", [1, 4, 8, 60])
+def test_without_the_setting_late_but_useful_jobs_are_served(over):
+    # Guards against priorities that act where no operator asked for them.
+    pool = pool_with(jobs(3 * SLOTS + over), prioritize=False)
+    assert pool.review() == 0
+    assert not pool.sharing.plan.active(pool.clock.now)
+
+
 @pytest.mark.parametrize("over", [1, 4, 8])
 def test_a_short_burst_is_served_a_little_late(over):
     # Guards against a refusal of useful answers for a queue that is gone after 0.3 s.
--- a/tests/pool/test_shortage.py
+++ b/tests/pool/test_shortage.py
@@ -18,7 +18,7 @@
 from brasstray.metrics.pool_metrics import PoolMetrics
 from brasstray_standins.pool_system import PoolSystem, PoolSystemSize
 
-SIZE = PoolSystemSize(data_centres=2, minions_each=16)
+SIZE = PoolSystemSize(data_centres=2, minions_each=16, prioritize=True)
 SECONDS = 5
 GOODPUT = 0.9
 URGENT_ON_TIME = 0.95
--- a/tests/pool/test_shortage_plan.py
+++ b/tests/pool/test_shortage_plan.py
@@ -37,7 +37,7 @@
     for one in steps:
         shares.record_demand(one, one.estimate, len(one.waiting), NOW)
     plan = ShortagePlan(Durations(1.0), shares)
-    plan.detect(steps, CapacityForecast(list(free_in)), 0.0, NOW)
+    plan.detect(steps, CapacityForecast(list(free_in)), NOW)
     return plan
 
 
--- a/tests/settings/test_check.py
+++ b/tests/settings/test_check.py
@@ -36,6 +36,16 @@
             DaemonKind.POOL_HOST,
             [("stop", "grace_seconds")],
         ),
+        (
+            VALID_POOL_HOST | {"shortage": {"prioritize": "true"}},
+            DaemonKind.POOL_HOST,
+            [],
+        ),
+        (
+            VALID_POOL_HOST | {"shortage": {"prioritize": "perhaps"}},
+            DaemonKind.POOL_HOST,
+            [("shortage", "prioritize")],
+        ),
         (
             VALID_POOL_HOST
             | {"minions": {"lease_ms": "100"}, "store": {"address": "store:1"}},
