Reject useless jobs of an evacuated pool at once again, and count shares only on request

With no other pool in reach, an evacuated pool kept a job until its caller's limit, where it was rejected before once its answer was of no use: a change of the rule for jobs that have begun had put that limit there. Both decisions use the one rule now. With the order under shortage off, each request and start still counted the shares of callers, which nobody read; the table of callers is left empty then.

--- a/src/brasstray/pool/dispatcher.py
+++ b/src/brasstray/pool/dispatcher.py
@@ -186,7 +186,7 @@
             cold=minion.is_cold(now),
         )
         step.begun = True
-        self._sharing.shares.record_start(step, step.work(expected, 1), now)
+        self._sharing.record_start(step, expected)
         minion.add(record)
         self._events.started(minion, record, now - step.arrived)
         self._roster.session(entry.id).start(record, step.spec)
--- a/src/brasstray/pool/load_sharing.py
+++ b/src/brasstray/pool/load_sharing.py
@@ -77,20 +77,23 @@
         """Return the plan that orders waiting steps."""
         return self._plan
 
-    @property
-    def shares(self) -> CallerShares:
-        """Return what priorities and callers had of the pool."""
-        return self._shares
-
     def observe_demand(self, step: StepTasks, message: RunTasks) -> None:
         """Count requested tasks, and what else was done for their requester."""
         self._task_size.observe(step.needs)
+        if not self._prioritize:
+            return
         now = self._clock.monotonic()
         expected = self._durations.expected(step, None, ())
         self._shares.record_report(step, message.done_ms / 1_000, now)
         if not message.claimed:
             self._shares.record_demand(step, expected, len(message.indices), now)
 
+    def record_start(self, step: StepTasks, expected: timedelta) -> None:
+        """Count a task of `step` that is being started as work for its caller."""
+        if self._prioritize:
+            work = step.work(expected, 1)
+            self._shares.record_start(step, work, self._clock.monotonic())
+
     def forward_or_reject(self, waiting_steps: list[StepTasks], now: timedelta) -> None:
         """Forward tasks that would end sooner elsewhere; reject those that are lost.
 
@@ -208,6 +211,10 @@
         latest = step.limit if step.partial else min(step.useful_until, step.limit)
         return end + wait > latest
 
+    def _is_useless(self, step: StepTasks, now: timedelta) -> bool:
+        """Return whether `step` should be rejected whatever its wait and duration."""
+        return self._misses_deadline(step, now, timedelta(0), timedelta(0))
+
     def _fill_free_slots(self, step: StepTasks, loads: dict[PoolId, PoolLoad]) -> None:
         """Forward tasks of `step` to free slots, in the pool with the most first."""
         for pool, load in sorted(loads.items(), key=lambda item: -item[1].free_slots):
@@ -230,7 +237,7 @@
             if loads:
                 self._fill_free_slots(step, loads)
                 self._queue_elsewhere(step, loads)
-            elif not self._others.any_connectable() or now > step.limit:
+            elif not self._others.any_connectable() or self._is_useless(step, now):
                 self._reject(step, timedelta(0), loads)
 
     def _queue_elsewhere(self, step: StepTasks, loads: dict[PoolId, PoolLoad]) -> None:
