Give up the rest of a begun or spread job only once it is lost

Callers got an unknown outcome milliseconds after they had submitted a job, with nothing of it begun or with runs that were then stopped.

Cause: an estimate was taken for knowledge. The rest of a job that has begun was rejected if its expected duration alone went beyond the limit, and a learned duration may be wrong by any factor.

Now such a rest is given up once a task of it would end after the limit without any wait, by what was learned and by the caller's own estimate.

--- a/src/brasstray/pool/load_sharing.py
+++ b/src/brasstray/pool/load_sharing.py
@@ -200,16 +200,14 @@
         """Return whether `step`, which has to `wait`, should be rejected.
 
         A job of which nothing has run is rejected if it cannot end while its answer is
-        useful, so that its caller need not wait for that. A job that has begun is given
-        up only if it would end too late without any wait: waits are estimates, and the
-        work already done on it would be lost. One that is spread over several pools is
-        continued as long as its caller waits.
+        useful, so that its caller need not wait for that. A job that has begun, or is
+        spread over several pools, has an unknown outcome if its rest is rejected. It is
+        given up only if, without any wait, it would end too late both by the caller's
+        estimate and by what was learned.
         """
-        end = now + expected
-        if step.begun:
-            return end > step.limit
-        latest = step.limit if step.partial else min(step.useful_until, step.limit)
-        return end + wait > latest
+        if step.partial:
+            return now + min(expected, step.estimate) > step.limit
+        return now + wait + expected > min(step.useful_until, step.limit)
 
     def _is_useless(self, step: StepTasks, now: timedelta) -> bool:
         """Return whether `step` should be rejected whatever its wait and duration."""
