Judge the rest of a job before a part of it is forwarded

An owner forwarded what found free slots in other pools, and then asked whether the rest could end in time. The rest was judged as that of a spread job, by another rule than the job just before: work was begun elsewhere for a job that the same review refused, and the outcome of a job that need not have begun was unknown.

Now the owner first plans the tasks that would find no slot. If they had to be rejected, nothing is forwarded: the job moves as a whole, or is refused as not run. The same in the usual order, where the same two lines stood. Evacuated pools send all tasks away and reject none that they have split, so they keep their order.

Of the new cases in tests/pool/test_load_sharing.py, 6 of 14 failed before both changes.

--- a/src/brasstray/pool/load_sharing.py
+++ b/src/brasstray/pool/load_sharing.py
@@ -120,13 +120,9 @@
             return
         kept = []
         for step in waiting_steps:
-            planned, after = self._plan.plan_step(step, ahead)
-            count = len(step.waiting)
-            self._decide(planned, loads, now)
+            self._decide(step, ahead, loads, now)
             if step.waiting:
-                if len(step.waiting) != count:
-                    planned, after = self._plan.plan_step(step, ahead)
-                ahead = after
+                planned, ahead = self._plan.plan_step(step, ahead)
                 kept.append(planned)
                 step.admitted = True
         self._waits = waits_by_priority(kept, next_free)
@@ -144,27 +140,49 @@
         wait = timedelta(0)
         for step in waiting_steps:
             expected = self._durations.expected(step, None, ())
-            if not step.forwarded:
-                self._fill_free_slots(step, loads)
-            if step.waiting and self._misses_deadline(step, now, wait, expected):
+            lost = self._misses_deadline(step, now, wait, expected)
+            if lost and self._count_without_slot(step, loads):
                 self._reject(step, wait, loads)
+            elif not step.forwarded:
+                self._fill_free_slots(step, loads)
             step.admitted = True
             # Later steps wait until the tasks of this one have ended.
             work = expected * len(step.waiting)
             wait += work * step.needs.cpu_millis / self._capacity
 
     def _decide(
-        self, planned: PlannedStep, loads: dict[PoolId, PoolLoad], now: timedelta
+        self,
+        step: StepTasks,
+        ahead: CapacityForecast,
+        loads: dict[PoolId, PoolLoad],
+        now: timedelta,
     ) -> None:
-        step = planned.step
-        if not step.forwarded:
-            if planned.wait > TRANSIT:
-                self._fill_free_slots(step, loads)
-            if step.waiting and not step.partial:
-                self._move_if_sooner(planned, loads, now)
+        planned, _ = self._plan.plan_step(step, ahead)
+        if planned.wait > TRANSIT and self._split(step, ahead, loads, now):
+            return
+        if not step.forwarded and not step.partial:
+            self._move_if_sooner(planned, loads, now)
         if step.waiting and self._is_lost(planned, now):
             self._reject(step, planned.wait, loads)
 
+    def _split(
+        self,
+        step: StepTasks,
+        ahead: CapacityForecast,
+        loads: dict[PoolId, PoolLoad],
+        now: timedelta,
+    ) -> bool:
+        """Forward tasks to free slots if the rest need not be rejected."""
+        rest = self._count_without_slot(step, loads)
+        if rest == len(step.waiting):
+            return False
+        if rest:
+            planned, _ = self._plan.plan_step(step, ahead, rest)
+            if self._is_lost(planned, now):
+                return False
+        self._fill_free_slots(step, loads)
+        return True
+
     def _move_if_sooner(
         self, planned: PlannedStep, loads: dict[PoolId, PoolLoad], now: timedelta
     ) -> None:
@@ -213,6 +231,15 @@
         """Return whether `step` should be rejected whatever its wait and duration."""
         return self._misses_deadline(step, now, timedelta(0), timedelta(0))
 
+    def _count_without_slot(
+        self, step: StepTasks, loads: dict[PoolId, PoolLoad]
+    ) -> int:
+        """Return how many waiting tasks of `step` find no free slot in other pools."""
+        if step.forwarded:
+            return len(step.waiting)
+        free = sum(max(0, load.free_slots) for load in loads.values())
+        return max(0, len(step.waiting) - free)
+
     def _fill_free_slots(self, step: StepTasks, loads: dict[PoolId, PoolLoad]) -> None:
         """Forward tasks of `step` to free slots, in the pool with the most first."""
         for pool, load in sorted(loads.items(), key=lambda item: -item[1].free_slots):
--- a/src/brasstray/pool/shortage.py
+++ b/src/brasstray/pool/shortage.py
@@ -120,13 +120,16 @@
         return step.work(self._durations.expected(step, None, ()), len(step.waiting))
 
     def plan_step(
-        self, step: StepTasks, forecast: CapacityForecast
+        self, step: StepTasks, forecast: CapacityForecast, count: int | None = None
     ) -> tuple[PlannedStep, CapacityForecast]:
-        """Return how long `step` will wait, and the forecast after it."""
+        """Return how long `step` will wait, and the forecast after it.
+
+        With `count`, only so many of its waiting tasks are planned.
+        """
         expected = self._durations.expected(step, None, ())
         before_others = step.partial or step in self._floored
         start, after = forecast.place(
-            len(step.waiting),
+            len(step.waiting) if count is None else count,
             expected.total_seconds(),
             MOST_URGENT if before_others else step.priority,
         )
--- a/tests/pool/test_load_sharing.py
+++ b/tests/pool/test_load_sharing.py
@@ -129,6 +129,31 @@
     return rest
 
 
+@in_both_orders
+@pytest.mark.parametrize("free_slots", [1, 2, 3])
+def test_no_part_is_forwarded_if_the_rest_has_no_room(prioritize, free_slots):
+    # Guards against an unknown outcome and wasted starts where nothing need have begun.
+    load = {"busy": LONG} if prioritize else {"ahead": 20}
+    caller = review(new_job(), prioritize=prioritize, free_slots=free_slots, **load)
+    assert caller.forwarded in (0, 4)
+    assert caller.rejected == 4 - caller.forwarded
+
+
+@in_both_orders
+@pytest.mark.parametrize("free_slots", [1, 2, 3])
+def test_a_part_is_forwarded_if_the_rest_has_room(prioritize, free_slots):
+    # Guards against idle slots elsewhere while a job waits that could use them.
+    caller = review(new_job(), prioritize=prioritize, free_slots=free_slots, busy=SOON)
+    assert (caller.forwarded, caller.rejected) == (free_slots, 0)
+
+
+@in_both_orders
+def test_a_job_that_fits_elsewhere_is_forwarded_however_long_the_wait(prioritize):
+    # Guards against refusals while enough slots are free.
+    caller = review(new_job(), prioritize=prioritize, free_slots=4)
+    assert (caller.forwarded, caller.rejected) == (4, 0)
+
+
 @in_both_orders
 @pytest.mark.parametrize("busy", [SOON, LONG])
 @pytest.mark.parametrize("ratio", [1.0, 100.0], ids=["estimate", "overestimate"])
