Learn from a run only what is left of the error of its estimate

Estimates of tasks of 0.05 to 0.5 s grew to 90 s and more within seconds, and jobs were given up or sent elsewhere by them.

Cause: each run was compared with the estimate under which it had begun, and its ratio multiplied into the values of its queue and of its minion as they stood at its end. Of many runs under way at once, each corrected the same error again, and nothing bounded the product.

Ruled out as the only source: values adopted from earlier owners, as the growth comes without any.

Now what a run took is compared with what would be expected of it when it ends, and counts as at most four times what was expected when it began. Runs one after another are learned as before: the test of that began all its runs under one estimate, which is the fault; it now asks for the estimate of each run, and still compares to the letter. The factor of the rack is part of the comparison.

--- a/src/brasstray/pool/durations.py
+++ b/src/brasstray/pool/durations.py
@@ -79,10 +79,19 @@
         return 1.0 if mean is None else mean.ratio
 
     def learn(
-        self, step: StepTasks, minion: MinionKey, expected: timedelta, took: timedelta
+        self,
+        step: StepTasks,
+        minion: MinionKey,
+        expected: timedelta,
+        took: timedelta,
+        labels: tuple[str, ...] = (),
     ) -> None:
         """Record that a run on `minion` took `took` instead of `expected`."""
-        observed, now = took / expected, self._now()
+        now = self._now()
+        # Many runs may have begun under one estimate. Measured against it, each of them
+        # would correct the same error again.
+        took = min(took, expected * MAX_RATIO)
+        observed = took / self.expected(step, minion, labels)
         queue = self._by_queue.setdefault(step.queue, MovingRatio())
         queue.observe(observed, SMOOTHING_FACTOR * QUEUE_SHARE, now, QUEUE_SHARE)
         mean = self._by_minion.setdefault(minion, MovingRatio())
--- a/src/brasstray/pool/run_tracker.py
+++ b/src/brasstray/pool/run_tracker.py
@@ -150,7 +150,9 @@
         minion_key = minion.entry.key
         took = self._clock.monotonic() - record.began
         task.parent_step.slowdowns[minion_key] = took / record.expected
-        self._durations.learn(task.parent_step, minion_key, record.expected, took)
+        self._durations.learn(
+            task.parent_step, minion_key, record.expected, took, minion.entry.labels
+        )
 
     def _handle_failure(self, minion: Minion, task: PoolTask) -> None:
         self._health_monitor.record_failed(minion, task, self._clock.monotonic())
--- a/tests/pool/test_durations.py
+++ b/tests/pool/test_durations.py
@@ -11,7 +11,7 @@
 
 from brasstray.batch.resources import Resources
 from brasstray.job.ids import MinionKey
-from brasstray.pool.durations import Durations
+from brasstray.pool.durations import MAX_RATIO, Durations
 from brasstray.pool.learned_values import NOTHING_LEARNED, TASK_CPU, LearnedValues
 from brasstray.pool.load_sharing import SLOT_SIZE_MARGIN, LoadSharing
 from brasstray.pool.placement import choose_minion
@@ -103,7 +103,8 @@
     """Guard against a change where nothing was adopted."""
     learner, random, queue, slowness = durations(), Random(1), 1.0, 1.0
     for _ in range(50):
-        expected, took = ms(60), ms(random.randint(1, 400))
+        expected = learner.expected(step(), MINIONS[0], ())
+        took = ms(random.randint(1, 400))
         observed = min(took / expected, 4.0)
         queue *= 1 + 0.05 * (observed - 1)
         slowness *= 1 + 0.1 * (observed - 1)
@@ -112,6 +113,46 @@
     assert learner.ratio(step(), MINIONS[1], ()) == queue
 
 
+@pytest.mark.parametrize("truth", [0.25, 1.0, 2.0, 4.0])
+@pytest.mark.parametrize("adopted", [0.5, 1.0, 2.0, None])
+def test_runs_begun_under_one_estimate_do_not_add_up(adopted, truth):
+    """Guard against estimates of a hundred times what any run took."""
+    values = {QUEUE: value(adopted)} if adopted else {}
+    learner, step_tasks = adopting(queues=values), step(estimate=MEAN_ESTIMATE)
+    begun = [
+        (key, learner.expected(step_tasks, key, ()))
+        for _ in range(20)
+        for key in MINIONS
+    ]
+    took = ms(MEAN_ESTIMATE) * truth
+    least, most = sorted((truth, adopted or 1.0))
+    for key, expected in begun:
+        learner.learn(step_tasks, key, expected, took)
+        found = learner.ratio(step_tasks, key, ())
+        assert least * (1 - TOLERANCE) <= found <= most * (1 + TOLERANCE)
+        of_queue = learner.ratio(step_tasks, None, ())
+        assert least * (1 - TOLERANCE) <= of_queue <= most * (1 + TOLERANCE)
+
+
+def test_a_hung_run_counts_as_a_multiple_of_what_was_expected_of_it():
+    """Guard against one run that makes its queue and its minion look slow for long."""
+    learner, step_tasks = durations(), step(estimate=MEAN_ESTIMATE)
+    for _ in range(200):
+        learner.learn(step_tasks, MINIONS[0], ms(MEAN_ESTIMATE), ms(60_000))
+    assert learner.ratio(step_tasks, MINIONS[0], ()) <= MAX_RATIO
+
+
+def test_runs_outside_the_rack_of_their_data_leave_the_ratios_alone():
+    """Guard against a slowness that is counted as the rack's and as the minion's."""
+    learner = Durations(1.5, lambda: NOW)
+    step_tasks = step(estimate=MEAN_ESTIMATE, rack="r1")
+    for _ in range(20):
+        expected = learner.expected(step_tasks, MINIONS[0], ("r2",))
+        learner.learn(step_tasks, MINIONS[0], expected, expected, ("r2",))
+    assert learner.slowness(MINIONS[0]) == 1.0
+    assert learner.ratio(step_tasks, None, ()) == 1.0
+
+
 def test_new_incarnation_starts_without_the_values_of_its_predecessor():
     """Guard against a restarted minion that is avoided for its predecessor's speed."""
     learner = adopting({"m0@1000": value(3.0)})
