--- a/tests/pool/test_load_sharing.py
+++ b/tests/pool/test_load_sharing.py
@@ -19,8 +19,7 @@
 
 OTHER = PoolId("dc1")
 SLOTS = 4
-# A run takes as long as its minion's queue of runs: within the horizon of the forecast,
-# or beyond it.
+# When the runs of the pool end, in ms: within the horizon of the forecast or beyond it.
 SOON, LONG = 100, 5_000
 
 in_both_orders = pytest.mark.parametrize(
