Give up a task whose run is missing, rather than start it again

Callers saw a job that was done answered late, by a second run of its task, or not answered for seconds. A minion starts again under its id; a probe sent to the incarnation before is carried out late, and its number acknowledges an end on the present one that nobody has read.

Cause, from a trace of each report and decision of the listed test: the run was listed as active at 1,554 ms, and neither as active nor as ended in every report from 1,876 ms on. At 2,004 it was taken for stuck and stopped. At 2,068 it was still listed neither way, which was taken for "never ran", although this incarnation had listed it; the task started again at 3,020.

Ruled out: reports out of order (none in the trace), numbers mixed up by the owner (its own was 0 until the second run ended), luck (it fails each time).

Now a run is known to have begun once its incarnation has listed it or answered its start. A report counts if its probe was sent after the run was known, if it is in order and if its list of ends is not full. The same question is asked where a stopped run has no end, where leases expire, where the minion starts again or is gone, and where a requester claims the task again. What an earlier incarnation answered is forgotten where a run moves on. A run that may not have begun is queued as before.

--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -88,6 +88,7 @@
         self._unanswered_starts: dict[tuple[TaskName, RunNumber], timedelta] = {}
         self._replaced = False
         self._has_said_born = False
+        self._seeks_missing_runs = False
 
     @property
     def minion(self) -> Minion:
@@ -321,7 +322,8 @@
     ) -> set[tuple[TaskName, RunNumber]] | None:
         """Ask which runs are active and which have ended; return the active ones.
 
-        None means that a later probe was answered before this one.
+        None means that a later probe was answered before this one, or that not all ends
+        were listed.
         """
         sent = self._clock.monotonic()
         until = None
@@ -356,12 +358,17 @@
         # An out-of-order reply lists runs as active whose end a newer one has listed.
         out_of_order = reply.clock_ms < self._newest_clock_ms
         self._newest_clock_ms = max(self._newest_clock_ms, reply.clock_ms)
-        self._owner.apply_report(
-            self._minion, () if out_of_order else reply.active, new_ends
-        )
+        if out_of_order:
+            self._owner.apply_report(self._minion, (), new_ends)
+        else:
+            requested = sent if reply.lists_all_ends else None
+            self._owner.apply_report(self._minion, reply.active, new_ends, requested)
+            self._seek_missing_runs()
         if not lease:
             self.renew_if_unlimited()
-        return None if out_of_order else {(run.task, run.run) for run in reply.active}
+        if out_of_order or not reply.lists_all_ends:
+            return None
+        return {(run.task, run.run) for run in reply.active}
 
     def _check_incarnation(self, reply: ProbeReply) -> None:
         """Raise an error unless `reply` is by the incarnation of this session.
@@ -385,6 +392,27 @@
         for key in reported:
             self._unanswered_starts.pop(key, None)
 
+    def _seek_missing_runs(self) -> None:
+        """Probe again soon if a run that had begun is missing in a report."""
+        if self._has_missing_runs and not self._seeks_missing_runs:
+            self._seeks_missing_runs = True
+            self._group.start_soon(self._probe_for_missing_runs)
+
+    @property
+    def _has_missing_runs(self) -> bool:
+        return any(
+            record.missing_since is not None and record.state is RunState.ACTIVE
+            for record in self._minion.runs.values()
+        )
+
+    async def _probe_for_missing_runs(self) -> None:
+        await self._clock.sleep(self._timing.stop_time)
+        self._seeks_missing_runs = False
+        if self._has_missing_runs:
+            # Without a response, the next report decides.
+            with suppress(MinionNoResponseError, MinionGoneError, FencedError):
+                await self._probe(lease=False, wait=_NO_WAIT)
+
     def renew_if_unlimited(self) -> None:
         """Renew the leases now if the last renewal was limited and none is any more.
 
@@ -467,6 +495,7 @@
                 self._lease.record_clock(minion_clock_ms, sent, self._clock.monotonic())
             if record.state is RunState.STARTING:
                 record.state = RunState.ACTIVE
+            record.confirm_begun(self._clock.monotonic())
             if record.task is None and record.state is RunState.ACTIVE:
                 self.stop(record)
 
@@ -520,14 +549,15 @@
 
         A run that is being stopped is no longer listed as active, and uses its capacity
         until its end is listed, within the stop time. A run that had not begun has no
-        end to list. One that is active after that time has to be stopped again.
+        end to list, nor has one whose end was lost. One that is active after that time
+        has to be stopped again.
         """
         await self._clock.sleep(self._timing.stop_time)
         if (record.name, record.run) not in self._minion.runs:
             return
         active = await self._probe(lease=False, wait=_NO_WAIT)
         if active is not None and (record.name, record.run) not in active:
-            self._owner.record_never_ran(self._minion, record)
+            self._owner.record_stop_without_end(self._minion, record)
 
     async def _call_stop(self, name: TaskName, run: RunNumber) -> None:
         timeout = self._timing.call_timeout + self._lag.allowance
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -124,6 +124,7 @@
             lambda: self._recovery.claims_closed,
             lambda minion, record: self._roster.session(minion.entry.id).stop(record),
             self._contact.inherited,
+            timing.stop_time,
         )
         self._task_size = TaskSize(clock.monotonic)
         self._sharing = LoadSharing(
@@ -318,7 +319,8 @@
         if index in step.tasks:
             return
         name = TaskName(step.batch, step.step, index)
-        if claimed and self._tasks.recent_end(name) is RunEnd.DONE:
+        recent_end = self._tasks.recent_end(name) if claimed else None
+        if recent_end is RunEnd.DONE:
             self._tasks.report_end(step, index, done=True)
             return
         task = PoolTask(name, step, TaskPhase.CLAIMED, RunNumber(0))
@@ -329,6 +331,8 @@
             minion.adopt(record, task)
         elif not claimed:
             self._tasks.queue(task)
+        elif recent_end is RunEnd.UNKNOWN:
+            self._tasks.give_up(task)
         elif self.recovered:
             self._recovery.resolve_claim(task)
 
@@ -401,10 +405,13 @@
         minion: Minion,
         active: tuple[ActiveRun, ...],
         ended: tuple[EndedRun, ...],
+        sent: timedelta | None = None,
     ) -> None:
-        """Apply a report of `minion` on its runs."""
-        self._runs.apply_report(minion, active, ended)
-        if ended:
+        """Apply a report of `minion` on its runs.
+
+        `sent` is when it was requested, or None if it may leave out runs.
+        """
+        if self._runs.apply_report(minion, active, ended, sent):
             self.dispatch()
 
     def handle_refusal(
@@ -414,9 +421,9 @@
         self._runs.apply_refusal(minion, record, refusal)
         self.dispatch()
 
-    def record_never_ran(self, minion: Minion, record: RunRecord) -> None:
-        """Record that `record` was stopped and lists no end, so it never ran."""
-        self._runs.record_never_ran(minion, record)
+    def record_stop_without_end(self, minion: Minion, record: RunRecord) -> None:
+        """Record that a stopped run is listed neither as active nor as ended."""
+        self._runs.record_stop_without_end(minion, record)
         self.dispatch()
 
     def record_reachability(self, minion: Minion) -> None:
--- a/src/brasstray/pool/probe_reply.py
+++ b/src/brasstray/pool/probe_reply.py
@@ -11,14 +11,22 @@
     from brasstray.batch.task_name import TaskName
 
 
+# Further ends are listed once these are acknowledged.
+MAX_LISTED_ENDS = 500
+
+
 class RunEnd(Enum):
-    """List the ways in which a run ends on a minion."""
+    """List the ways in which a run ends on a minion.
+
+    UNKNOWN: no report lists the run any more, and none has listed its end.
+    """
 
     DONE = "done"
     FAILED = "failed"
     STOPPED = "stopped"
     EXPIRED = "expired"
     BROKEN = "broken"
+    UNKNOWN = "unknown"
 
 
 @dataclass(frozen=True, slots=True)
@@ -52,5 +60,10 @@
     ended: tuple[EndedRun, ...]
     born: int | None = None
 
+    @property
+    def lists_all_ends(self) -> bool:
+        """Return whether no further end waits for these to be acknowledged."""
+        return len(self.ended) < MAX_LISTED_ENDS
+
 
-__all__ = ["ActiveRun", "EndedRun", "ProbeReply", "RunEnd"]
+__all__ = ["MAX_LISTED_ENDS", "ActiveRun", "EndedRun", "ProbeReply", "RunEnd"]
--- a/src/brasstray/pool/run_record.py
+++ b/src/brasstray/pool/run_record.py
@@ -37,8 +37,10 @@
     until it is claimed, as only its requester knows what it uses. `cold` marks a run
     that began while its minion was warming up. `orphan_contact` is the last contact
     with the coordinator of a run without a task, or an earlier time. `reported` is
-    whether the minion's present incarnation has listed the run as active. `long_task`
-    marks a run whose task was recognised as long.
+    whether the minion's present incarnation has listed the run as active. `begun_by` is
+    when it was first known to have begun there, by a report or a response to its start,
+    and `missing_since` when a later report listed it neither as active nor as ended.
+    `long_task` marks a run whose task was recognised as long.
     """
 
     name: TaskName
@@ -53,6 +55,8 @@
     cold: bool = False
     orphan_contact: timedelta = timedelta(0)
     reported: bool = False
+    begun_by: timedelta | None = None
+    missing_since: timedelta | None = None
     long_task: bool = False
     progress: RunProgress = field(init=False, repr=False)
 
@@ -61,9 +65,36 @@
         self.progress = RunProgress(self.began)
 
     def report(self, percent: int, now: timedelta) -> None:
-        """Record that the minion reported `percent` at `now`."""
+        """Record that the minion listed the run as active, at `percent`, at `now`."""
         self.percent = percent
         self.progress.observe(percent, now)
+        self.reported = True
+        self.missing_since = None
+        self.confirm_begun(now)
+
+    def confirm_begun(self, now: timedelta) -> None:
+        """Record that the run is known at `now` to have begun."""
+        if self.begun_by is None:
+            self.begun_by = now
+
+    def move_to_next_incarnation(self) -> None:
+        """Forget what the earlier incarnation said; the next one may begin the run."""
+        self.state = RunState.OUTCOME_UNKNOWN
+        self.begun_by = self.missing_since = None
+
+    def observe_missing(
+        self, sent: timedelta, now: timedelta, stop_time: timedelta
+    ) -> bool:
+        """Record a report without the run; return whether its end is lost.
+
+        The report answers a probe sent at `sent`. A run that is being stopped is not
+        listed for up to `stop_time`, so one report is not enough.
+        """
+        if self.begun_by is None or sent < self.begun_by:
+            return False
+        if self.missing_since is None:
+            self.missing_since = now
+        return sent - self.missing_since >= stop_time
 
     @property
     def last_contact(self) -> timedelta:
--- a/src/brasstray/pool/run_tracker.py
+++ b/src/brasstray/pool/run_tracker.py
@@ -11,6 +11,7 @@
 from brasstray.pool.pool_task import TaskPhase
 from brasstray.pool.probe_reply import RunEnd
 from brasstray.pool.run_record import RunRecord, RunState
+from brasstray.pool.timing import PoolTiming
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Container
@@ -36,7 +37,8 @@
     A task whose run has ended without a result is queued for another start.
     `claims_closed` returns whether orphaned runs are to be stopped, and `stop` stops a
     run. `inherited_contact` is the earliest last contact with the coordinator of a run
-    that this owner finds.
+    that this owner finds. `stop_time` is how long a run that is being stopped may be
+    listed neither as active nor as ended.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         claims_closed: Callable[[], bool],
         stop: Callable[[Minion, RunRecord], None],
         inherited_contact: timedelta = timedelta(0),
+        stop_time: timedelta = PoolTiming.stop_time,
     ) -> None:
         self._tasks = tasks
         self._health_monitor = monitor
@@ -58,14 +61,20 @@
         self._inherited_contact = inherited_contact
         self._claims_closed = claims_closed
         self._stop = stop
+        self._stop_time = stop_time
 
     def apply_report(
         self,
         minion: Minion,
         active: tuple[ActiveRun, ...],
         ended: tuple[EndedRun, ...],
-    ) -> None:
-        """Apply a report of `minion` on its runs."""
+        sent: timedelta | None = None,
+    ) -> bool:
+        """Apply a report of `minion` on its runs; return whether any has ended.
+
+        `sent` is when it was requested, or None if it may leave out runs.
+        """
+        any_ended = bool(ended)
         for end in ended:
             record = minion.runs.get((end.task, end.run))
             if record is None:
@@ -75,17 +84,21 @@
         for run in active:
             self._apply_active(minion, run)
         now = self._clock.monotonic()
+        if sent is not None:
+            any_ended |= self._give_up_lost(minion, active, sent, now)
         for record in list(minion.runs.values()):
+            if record.missing_since is not None:
+                continue
             if self._health_monitor.should_stop(minion, record, now):
                 # The task is queued only once the end is listed, so that it never runs
                 # twice.
                 self._stop(minion, record)
+        return any_ended
 
     def _apply_active(self, minion: Minion, run: ActiveRun) -> None:
         record = minion.runs.get((run.task, run.run))
         if record is not None:
             record.report(run.percent, self._clock.monotonic())
-            record.reported = True
             if record.state in (RunState.STARTING, RunState.OUTCOME_UNKNOWN):
                 record.state = RunState.ACTIVE
         elif not minion.has_ended(run.task, run.run):
@@ -98,17 +111,19 @@
         adopts it as well, since the task could start elsewhere while the run was being
         stopped. An orphaned run is stopped once claims are closed.
         """
+        now = self._clock.monotonic()
         record = RunRecord(
             run.task,
             run.run,
             Resources(),
-            self._clock.monotonic(),
+            now,
             timedelta(0),
             RunState.ACTIVE,
             None,
             size_known=False,
             orphan_contact=self._inherited_contact,
             reported=True,
+            begun_by=now,
         )
         minion.add(record)
         task = self._tasks.find(run.task)
@@ -119,6 +134,35 @@
         elif self._claims_closed():
             self._stop(minion, record)
 
+    def _give_up_lost(
+        self,
+        minion: Minion,
+        active: tuple[ActiveRun, ...],
+        sent: timedelta,
+        now: timedelta,
+    ) -> bool:
+        """Give up the runs whose end cannot be read any more; return whether any was.
+
+        A probe for an earlier incarnation of the minion, if carried out late, makes the
+        present one forget ends that were never reported.
+        """
+        listed = {(run.task, run.run) for run in active}
+        lost = [
+            record
+            for key, record in minion.runs.items()
+            if key not in listed
+            and record.state is RunState.ACTIVE
+            and record.observe_missing(sent, now, self._stop_time)
+        ]
+        for record in lost:
+            self._record_lost_end(minion, record)
+        return bool(lost)
+
+    def _record_lost_end(self, minion: Minion, record: RunRecord) -> None:
+        # Released, not removed: it counts again should a report list it after all.
+        minion.release(record)
+        self._handle_end(minion, record, RunEnd.UNKNOWN)
+
     def _apply_end(self, minion: Minion, record: RunRecord, end: RunEnd) -> None:
         minion.remove(record)
         if end is RunEnd.DONE:
@@ -137,6 +181,10 @@
                 self._tasks.finish(task, done=True)
             case RunEnd.FAILED:
                 self._handle_failure(minion, task)
+            case RunEnd.UNKNOWN:
+                # The task may be done, so it is not started again.
+                self._tasks.remember_end(task.name, end)
+                self._tasks.give_up(task)
             case _:
                 self._tasks.queue(task)
 
@@ -197,9 +245,16 @@
                 task.avoided.add(minion.entry.key)
         self._tasks.queue(task)
 
-    def record_never_ran(self, minion: Minion, record: RunRecord) -> None:
-        """Record that `record` was stopped and lists no end, so it never ran."""
-        if minion.remove(record):
+    def record_stop_without_end(self, minion: Minion, record: RunRecord) -> None:
+        """Record that a stopped run is listed neither as active nor as ended.
+
+        It never ran, unless it is known to have begun.
+        """
+        if (record.name, record.run) not in minion.runs:
+            return
+        if record.begun_by is not None:
+            self._record_lost_end(minion, record)
+        elif minion.remove(record):
             self._events.ended(minion, record, RunEnd.STOPPED)
             if record.task is not None:
                 self._tasks.queue(record.task)
@@ -223,7 +278,7 @@
         ended = [record for key, record in minion.runs.items() if key not in kept]
         for record in ended:
             minion.release(record)
-            self._handle_end(minion, record, RunEnd.EXPIRED)
+            self._handle_end(minion, record, _end_without_report(record))
         return ended
 
     def end_incarnation(
@@ -243,12 +298,20 @@
             before.release(record)
             if record.reported:
                 ended.append(record)
-                self._handle_end(before, record, RunEnd.EXPIRED)
+                self._handle_end(before, record, _end_without_report(record))
             else:
                 open_runs.append(record)
-                record.state = RunState.OUTCOME_UNKNOWN
+                record.move_to_next_incarnation()
                 after.add(record)
         return ended, open_runs
 
 
+def _end_without_report(record: RunRecord) -> RunEnd:
+    """Return how a run ended whose minion will not report it any more.
+
+    One that was missing in the last report had ended before its lease or its minion.
+    """
+    return RunEnd.EXPIRED if record.missing_since is None else RunEnd.UNKNOWN
+
+
 __all__ = ["RunTracker"]
--- a/src/brasstray/pool/task_registry.py
+++ b/src/brasstray/pool/task_registry.py
@@ -106,7 +106,7 @@
             step.requester.send(message)
 
     def give_up(self, task: PoolTask) -> None:
-        """Return a task that may run on an unreachable minion, its outcome unknown."""
+        """Return a task that may be running or have ended, its outcome unknown."""
         step, index = task.parent_step, task.name.index
         del step.tasks[index]
         self._events.dropped(step, "outcome_unknown")
