Test that a run which its minion is stopping is not given up

The report that another end brings about lists such a run neither as active nor as ended; the next report has its end.

--- a/tests/pool/test_lost_ends.py
+++ b/tests/pool/test_lost_ends.py
@@ -74,7 +74,8 @@
 async def restart_and_ask(pool, work_ms, *, listed=False, answered=True):
     """Have a minion start again, and a task begin there; return what takes part.
 
-    `probe_late` carries out a probe of before the restart, which acknowledges six ends.
+    `lose_end` cuts the minion off until the task has ended, and then carries out a
+    probe of before the restart, which acknowledges six ends.
     """
     report_born(pool)
     owner, calls = await own(pool)
@@ -95,10 +96,12 @@
     if answered:
         await pool.clock.sleep(ms(200 if listed else 5))
 
-    async def probe_late():
+    async def lose_end():
+        calls.cut.add(stand_in.entry.id)
+        await pool.clock.sleep(ms(work_ms + 50))
         await stand_in.hold(stale, FencingToken(1), 6, None, ms(0))
 
-    return owner, calls, stand_in, requester, probe_late
+    return owner, calls, stand_in, requester, lose_end
 
 
 def is_unknown(messages):
@@ -113,13 +116,11 @@
 @pytest.mark.parametrize("work_ms", [20, 60, 150])
 def test_end_of_a_run_that_was_never_listed_is_known_to_be_lost(work_ms):
     async def scenario(pool):
-        _, calls, stand_in, requester, probe_late = await restart_and_ask(pool, work_ms)
-        calls.cut.add(stand_in.entry.id)
-        await pool.clock.sleep(ms(200))
-        await probe_late()
+        _, calls, stand_in, requester, lose_end = await restart_and_ask(pool, work_ms)
+        await lose_end()
         calls.cut.clear()
         await pool.clock.sleep(ANSWER_WITHIN)
-        return list(requester.messages)
+        return requester.messages
 
     pool, messages = run_takeover(scenario, 1)
     assert is_unknown(messages)
@@ -131,13 +132,10 @@
 @pytest.mark.parametrize("then", ["restarts", "is silent", "is gone"])
 def test_task_of_a_missing_run_is_not_started_elsewhere(then):
     async def scenario(pool):
-        owner, calls, stand_in, requester, probe_late = await restart_and_ask(
+        owner, calls, stand_in, requester, lose_end = await restart_and_ask(
             pool, 300, listed=True
         )
-        minion_id = stand_in.entry.id
-        calls.cut.add(minion_id)
-        await pool.clock.sleep(ms(150))
-        await probe_late()
+        await lose_end()
         calls.cut.clear()
         while not any(r.missing_since for m in owner.minions for r in m.runs.values()):
             await pool.clock.sleep(ms(1))
@@ -146,7 +144,7 @@
                 stand_in.restart(BORN + 9_000)
                 owner.update_minions(pool.entries)
             case "is silent":
-                calls.cut.add(minion_id)
+                calls.cut.add(stand_in.entry.id)
             case "is gone":
                 stand_in.entry = replace(stand_in.entry, id="another")
         await pool.clock.sleep(ms(4_000))
@@ -161,10 +159,8 @@
 # answer that its outcome is unknown got lost with the old one.
 def test_claim_to_a_task_whose_end_was_lost_is_answered_as_unknown():
     async def scenario(pool):
-        owner, calls, stand_in, _, probe_late = await restart_and_ask(pool, 60)
-        calls.cut.add(stand_in.entry.id)
-        await pool.clock.sleep(ms(150))
-        await probe_late()
+        owner, calls, stand_in, _, lose_end = await restart_and_ask(pool, 60)
+        await lose_end()
         calls.cut.clear()
         await pool.clock.sleep(ANSWER_WITHIN)
         again = Requester()
@@ -182,12 +178,11 @@
 @pytest.mark.parametrize("stopped", ["before", "after"])
 def test_lost_end_of_an_unwanted_run_frees_its_capacity(stopped):
     async def scenario(pool):
-        owner, calls, stand_in, requester, probe_late = await restart_and_ask(pool, 60)
-        calls.cut.add(stand_in.entry.id)
+        owner, calls, stand_in, requester, lose_end = await restart_and_ask(pool, 60)
         if stopped == "before":
+            calls.cut.add(stand_in.entry.id)
             owner.stop_tasks(requester, JOB)
-        await pool.clock.sleep(ms(150))
-        await probe_late()
+        await lose_end()
         if stopped == "after":
             owner.stop_tasks(requester, JOB)
         calls.cut.clear()
@@ -203,13 +198,12 @@
 # run is listed neither as active nor as ended either.
 def test_task_whose_start_was_lost_runs():
     async def scenario(pool):
-        owner, calls, stand_in, _, probe_late = await restart_and_ask(pool, 60)
+        owner, calls, stand_in, _, lose_end = await restart_and_ask(pool, 60)
         await pool.clock.sleep(ms(400))
         requester = Requester()
         calls.cut.add(stand_in.entry.id)
         owner.run_tasks(requester, request(claimed=False, job=LATER_JOB))
-        await pool.clock.sleep(ms(150))
-        await probe_late()
+        await lose_end()
         calls.cut.clear()
         await pool.clock.sleep(ms(5_000))
         return requester
@@ -219,6 +213,33 @@
     assert pool.recorder.starts.count(TaskName(LATER_JOB, 0, 0)) == 1
 
 
+# Guards against an unknown outcome of a task whose run its minion is stopping: it is
+# listed neither as active nor as ended in a report that another end brings about.
+def test_run_that_is_being_stopped_is_not_given_up():
+    async def scenario(pool):
+        report_born(pool)
+        owner, _ = await own(pool)
+        stand_in = next(iter(pool.stand_ins.values()))
+        for index, work_ms in enumerate((900, 660)):
+            pool.recorder.work_by_task[TaskName(JOB, 0, index)] = Work(
+                pool.recorder.default_work.needs, ms(work_ms)
+            )
+        requester = Requester()
+        owner.run_tasks(requester, request(claimed=False, width=2))
+        await pool.clock.sleep(ms(640))
+        stand_in.stop(stand_in.entry, FencingToken(1), TASK, 1)
+        seen_missing = False
+        for _ in range(300):
+            await pool.clock.sleep(ms(10))
+            records = [r for m in owner.minions for r in m.runs.values()]
+            seen_missing |= any(r.missing_since for r in records)
+        return requester, seen_missing
+
+    _, (requester, seen_missing) = run_takeover(scenario, 1)
+    assert seen_missing
+    assert sorted(done_tasks(requester)) == [0, 1]
+
+
 @dataclass
 class SetClock:
     """Show the time that a test sets."""
@@ -279,11 +300,10 @@
     assert ProbeReply(0, (), ended).lists_all_ends == all_listed
 
 
-async def begin_unanswered(pool, calls, stand_in):
-    """Cut the minion off after it has begun the task, before its response arrives."""
+async def begin_unanswered(pool):
+    """Wait until the task has begun; the response to its start is on its way."""
     while not pool.recorder.starts.count(TASK):
         await pool.clock.sleep(ms(0.2))
-    calls.cut.add(stand_in.entry.id)
 
 
 # Guards against a second run: the minion began the run, but its response to the start
@@ -291,12 +311,11 @@
 @pytest.mark.parametrize("work_ms", [30, 100, 300])
 def test_unanswered_start_whose_end_was_lost_is_not_repeated(work_ms):
     async def scenario(pool):
-        _, calls, stand_in, requester, probe_late = await restart_and_ask(
+        _, calls, stand_in, requester, lose_end = await restart_and_ask(
             pool, work_ms, answered=False
         )
-        await begin_unanswered(pool, calls, stand_in)
-        await pool.clock.sleep(ms(work_ms + 20))
-        await probe_late()
+        await begin_unanswered(pool)
+        await lose_end()
         calls.cut.clear()
         await pool.clock.sleep(ms(5_000))
         return requester.messages
@@ -310,10 +329,8 @@
 # and the next one finds neither the run nor its end.
 def test_claimed_task_whose_end_was_lost_before_is_not_started_again():
     async def scenario(pool):
-        owner, calls, stand_in, _, probe_late = await restart_and_ask(pool, 60)
-        calls.cut.add(stand_in.entry.id)
-        await pool.clock.sleep(ms(100))
-        await probe_late()
+        owner, calls, stand_in, _, lose_end = await restart_and_ask(pool, 60)
+        await lose_end()
         owner.depose()
         successor, _ = pool.start_owner(2, pool.calls())
         await pool.list_all_minions(successor)
