Do not take a held reply for proof that a run is missing

A task that ended with its minion could get an unknown outcome rather than its restart. A probe is held back until a run ends; if the process dies meanwhile, the reply lists neither the run nor an end.

Now only a reply that was not held back counts. The new test, two cases, failed before.

--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -361,9 +361,13 @@
         if out_of_order:
             self._owner.apply_report(self._minion, (), new_ends)
         else:
-            requested = sent if reply.lists_all_ends else None
-            self._owner.apply_report(self._minion, reply.active, new_ends, requested)
-            self._seek_missing_runs()
+            # A reply that was held back may be the last one of a process whose runs are
+            # being killed, without an end.
+            certain = reply.lists_all_ends and not wait
+            self._owner.apply_report(
+                self._minion, reply.active, new_ends, sent if certain else None
+            )
+            self._seek_missing_runs(reply, sent)
         if not lease:
             self.renew_if_unlimited()
         if out_of_order or not reply.lists_all_ends:
@@ -392,26 +396,28 @@
         for key in reported:
             self._unanswered_starts.pop(key, None)
 
-    def _seek_missing_runs(self) -> None:
-        """Probe again soon if a run that had begun is missing in a report."""
-        if self._has_missing_runs and not self._seeks_missing_runs:
+    def _seek_missing_runs(self, reply: ProbeReply, sent: timedelta) -> None:
+        """Probe again soon if a run that had begun is missing in `reply`."""
+        if self._seeks_missing_runs:
+            return
+        listed = {(run.task, run.run) for run in reply.active}
+        if any(
+            key not in listed and record.must_be_listed(sent)
+            for key, record in self._minion.runs.items()
+        ):
             self._seeks_missing_runs = True
             self._group.start_soon(self._probe_for_missing_runs)
 
-    @property
-    def _has_missing_runs(self) -> bool:
-        return any(
-            record.missing_since is not None and record.state is RunState.ACTIVE
-            for record in self._minion.runs.values()
-        )
-
     async def _probe_for_missing_runs(self) -> None:
-        await self._clock.sleep(self._timing.stop_time)
+        """Probe at once, and again when a stop that was under way is over.
+
+        Without a response, the next report decides.
+        """
+        with suppress(MinionNoResponseError, MinionGoneError, FencedError):
+            await self._probe(lease=False, wait=_NO_WAIT)
+            await self._clock.sleep(self._timing.stop_time)
+            await self._probe(lease=False, wait=_NO_WAIT)
         self._seeks_missing_runs = False
-        if self._has_missing_runs:
-            # Without a response, the next report decides.
-            with suppress(MinionNoResponseError, MinionGoneError, FencedError):
-                await self._probe(lease=False, wait=_NO_WAIT)
 
     def renew_if_unlimited(self) -> None:
         """Renew the leases now if the last renewal was limited and none is any more.
--- a/src/brasstray/pool/run_record.py
+++ b/src/brasstray/pool/run_record.py
@@ -82,16 +82,26 @@
         self.state = RunState.OUTCOME_UNKNOWN
         self.begun_by = self.missing_since = None
 
+    def must_be_listed(self, sent: timedelta) -> bool:
+        """Return whether the reply to a probe sent at `sent` shows the run or its end.
+
+        One that is being stopped is not shown for a while, which the minion may have
+        begun by itself.
+        """
+        return (
+            self.state is RunState.ACTIVE
+            and self.begun_by is not None
+            and sent >= self.begun_by
+        )
+
     def observe_missing(
         self, sent: timedelta, now: timedelta, stop_time: timedelta
     ) -> bool:
-        """Record a report without the run; return whether its end is lost.
+        """Record a reply without the run; return whether its end is lost.
 
-        The report answers a probe sent at `sent`. A run that is being stopped is not
-        listed for up to `stop_time`, so one report is not enough.
+        The reply answers a probe sent at `sent`. One is not enough, as the minion may
+        be stopping the run, for up to `stop_time`.
         """
-        if self.begun_by is None or sent < self.begun_by:
-            return False
         if self.missing_since is None:
             self.missing_since = now
         return sent - self.missing_since >= stop_time
--- a/src/brasstray/pool/run_tracker.py
+++ b/src/brasstray/pool/run_tracker.py
@@ -151,7 +151,7 @@
             record
             for key, record in minion.runs.items()
             if key not in listed
-            and record.state is RunState.ACTIVE
+            and record.must_be_listed(sent)
             and record.observe_missing(sent, now, self._stop_time)
         ]
         for record in lost:
--- a/tests/pool/test_lost_ends.py
+++ b/tests/pool/test_lost_ends.py
@@ -155,6 +155,34 @@
     assert pool.recorder.starts.count(TASK) == 1
 
 
+# Guards against an unknown outcome of a task that ended with its minion: the reply to a
+# probe that was held back while the process died lists neither the run nor an end.
+@pytest.mark.parametrize("then", ["restarts", "is silent"])
+def test_task_of_a_minion_that_died_during_a_probe_starts_again(then):
+    async def scenario(pool):
+        report_born(pool)
+        owner, calls = await own(pool)
+        requester = Requester()
+        owner.run_tasks(requester, request(claimed=False))
+        await pool.clock.sleep(ms(500))
+        stand_in = pool.stand_ins[pool.where()]
+        before = calls.calls[stand_in.entry.id]
+        while calls.calls[stand_in.entry.id] == before:
+            await pool.clock.sleep(ms(1))
+        await pool.clock.sleep(ms(20))
+        stand_in.crash()
+        await pool.clock.sleep(ms(200))
+        if then == "restarts":
+            stand_in.restart(BORN + 5_000)
+            owner.update_minions(pool.entries)
+        await pool.clock.sleep(ms(5_000))
+        return requester
+
+    pool, requester = run_takeover(scenario, 2)
+    assert done_tasks(requester) == [0]
+    assert pool.recorder.starts.count(TASK) == 2
+
+
 # Guards against a second run: a requester claims the task again over a new link, as the
 # answer that its outcome is unknown got lost with the old one.
 def test_claim_to_a_task_whose_end_was_lost_is_answered_as_unknown():
