--- a/review/standins/hosts.py
+++ b/review/standins/hosts.py
@@ -40,9 +40,12 @@
 
 
 class Host:
-    """Run one host as a process, and its log in a file or a pipe."""
+    """Run one host as a process.
 
-    def __init__(self, folder, name, zone, zones, store_port, stdout=None):
+    Its log goes to a file, or with `piped` through a pipe to a process that reads it.
+    """
+
+    def __init__(self, folder, name, zone, zones, store_port, *, piped=False):
         self.name, self.zone = name, zone
         self.callers, self.ready, peers, metrics = free_ports(4)
         deploy = tomllib.loads((ROOT / "deploy/system.toml").read_text())
@@ -68,11 +71,17 @@
         self.settings.write_text(render(template, values, zones))
         self.log = Path(folder) / f"{name}.log"
         self.errors = Path(folder) / f"{name}.err"
-        self.start(stdout)
-
-    def start(self, stdout=None):
+        self.reader = None
+        self._output = self.log.open("a")
+        if piped:
+            self.reader = subprocess.Popen(
+                ["cat"], stdin=subprocess.PIPE, stdout=self._output
+            )
+            self._output = self.reader.stdin
+        self.start()
+
+    def start(self):
         """Start the process, or start it again with the same settings."""
-        output = stdout if stdout is not None else self.log.open("a")
         environment = {
             k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ
         }
@@ -83,7 +92,7 @@
             cwd=ROOT,
             env=environment,
             stdin=subprocess.DEVNULL,
-            stdout=output,
+            stdout=self._output,
             stderr=self.errors.open("a"),
         )
 
@@ -115,3 +124,6 @@
             self.process.send_signal(signal.SIGCONT)
             self.process.kill()
         self.process.wait()
+        if self.reader is not None:
+            self.reader.kill()
+            self.reader.wait()
--- a/review/standins/system.py
+++ b/review/standins/system.py
@@ -32,12 +32,15 @@
 class System:
     """Hold the stand-ins and the hosts; end everything at the end of the block."""
 
-    def __init__(self, folder, zones, hosts_per_zone, minions_per_zone, plan):
+    def __init__(
+        self, folder, zones, hosts_per_zone, minions_per_zone, plan, *, piped=False
+    ):
         self.record = Record(folder)
         self.zones = zones
         self._hosts_per_zone = hosts_per_zone
         self._minions_per_zone = minions_per_zone
         self._plan = plan
+        self._piped = piped
         self.hosts = []
         self.minions = []
 
@@ -61,10 +64,10 @@
             raise
         return self
 
-    async def start_host(self, name, zone, stdout=None):
-        """Start a host; its log goes to `stdout` if that is given."""
+    async def start_host(self, name, zone):
+        """Start a host."""
         port = await self.store.port_for(name)
-        host = Host(self.folder, name, zone, self.zones, port, stdout)
+        host = Host(self.folder, name, zone, self.zones, port, piped=self._piped)
         self.hosts.append(host)
         self.record.add("host_started", host=name)
         return host
