Add a review case: a task runs twice after a pool has changed hands

Cause: a new owner ends the runs that a minion has just reported as if their lease were over, if the minion then leaves two probes unanswered; it starts their tasks elsewhere beside them. Done: a script that stops the owner gracefully while two minions leave a part of their calls unanswered.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,96 +1,126 @@
-"""Send one job that can never be done, and count the hosts that end by themselves."""
+"""Hand a pool over while two of its minions leave a part of their calls unanswered."""
 
 from __future__ import annotations
 
 import asyncio
-import secrets
+import random
+import signal
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
 from standins.run import main, trouble  # noqa: E402
-from standins.system import RESEND_S, System, job_body  # noqa: E402
-
-ZONES = ["utrecht-a", "utrecht-b", "amersfoort"]
-# One message in 20 of one class, within 3 s.
-MESSAGES = 20
-POISON_S = 3.0
-# The largest signed 64-bit number: no minion has as much.
-POISON_CPU = 2**63 - 1
-USUAL_CPU = 6_800
-WORK_S = 0.9
-WATCH_S = 60
-RESTART_S = 1.0
-# The day counts 0 if processes end by themselves three times on this many machines.
-ENDS, MACHINES = 3, 2
-
-
-async def restart_ended(system, ends):
-    """Start each host again that has ended, as the platform does."""
-    while True:
-        for host in list(system.hosts):
-            code = host.process.poll()
-            if code is None:
-                continue
-            system.hosts.remove(host)
-            ends[host.name] = ends.get(host.name, 0) + 1
-            error = host.last_error()
-            system.record.add("ended", host=host.name, code=code, error=error)
-            asyncio.create_task(start_later(system, host))
-        await asyncio.sleep(0.05)
-
-
-async def start_later(system, host):
-    """Start the host `host` again, with its settings of before."""
-    await asyncio.sleep(RESTART_S)
-    system.restart_host(host)
-
-
-async def send_until_answered(system, turn, body):
-    """Send a job until it is answered with its end or rejected, as a client does."""
-    job = secrets.token_hex(8)
-    while True:
-        hosts = list(system.hosts)
-        if hosts:
-            status = await system.submit(hosts[turn % len(hosts)], body, job)
-            if status not in (None, 502, 504):
-                return
-        turn += 1
-        await asyncio.sleep(RESEND_S)
-
-
-def ended_too_often(ends):
-    """Return the hosts that ended three times or more, if there are two at least."""
-    often = [name for name, count in ends.items() if count >= ENDS]
-    return often if len(often) >= MACHINES else []
+from standins.system import System, job_body, owner_of  # noqa: E402
+
+ZONES = ["bkk-a", "bkk-b"]
+ZONE = ZONES[0]
+HOSTS_PER_ZONE, MINIONS_PER_ZONE = 3, 8
+CALLERS_PER_HOST = 3
+WORK_S = 1.2
+DEADLINE_MS = 1_535
+# Two minions of 16 for 6.6 s; of each eight calls of an owner, these go unanswered.
+GREY, GREY_S = 2, 6.6
+UNANSWERED = (0, 2, 3)
+CALLS = 8
+ROUNDS = 7
+
+
+class Mute:
+    """Leave three of each eight calls of an owner unanswered."""
+
+    def __init__(self):
+        self._token = 0
+        self._count = 0
+
+    def __call__(self, request):
+        """Return whether this call stays unanswered."""
+        token = request.json().get("FencingToken", 0)
+        if token > self._token:
+            self._token, self._count = token, 0
+        number, self._count = self._count % CALLS, self._count + 1
+        return number in UNANSWERED
+
+
+async def send_jobs(system, host, stopped):
+    """Send one job after the other to `host`, until `stopped` is set."""
+    while not stopped.is_set():
+        if host.process.poll() is None and host.name not in system.leaving:
+            body = job_body(2, est_ms=round(1_000 * WORK_S))
+            await system.submit(host, body, deadline_ms=DEADLINE_MS)
+        await asyncio.sleep(random.uniform(0.2, 0.6))
+
+
+async def stop_and_start(system, host):
+    """Stop a host gracefully, and start it again."""
+    system.leaving.add(host.name)
+    system.record.add("sigterm", host=host.name)
+    host.send(signal.SIGTERM)
+    while host.process.poll() is None:
+        await asyncio.sleep(0.02)
+    system.record.add("ended", host=host.name, code=host.process.poll())
+    host.start()
+    await host.wait_ready()
+    system.leaving.discard(host.name)
+
+
+def find_overlaps(record):
+    """Return the starts of tasks that had another run at that time."""
+    active, breaks = {}, []
+    for event in record.events:
+        if event["kind"] == "start":
+            runs = active.setdefault(event["task"], {})
+            breaks += [
+                f"TWICE: run {event['run']} of {event['task']} began on "
+                f"{event['minion']} at {event['at']} beside run {run} on {minion}"
+                for minion, run in runs
+            ]
+            runs[event["minion"], event["run"]] = event["at"]
+        elif event["kind"] == "end":
+            active.get(event["task"], {}).pop((event["minion"], event["run"]), None)
+    return breaks
 
 
 async def case():
-    """Return the hosts that ended by themselves three times or more."""
-    ends = {}
-    async with System(FOLDER, ZONES, 2, 4, lambda *_: (USUAL_CPU, WORK_S)) as system:
-        await asyncio.sleep(2)
-        watcher = asyncio.create_task(restart_ended(system, ends))
-        senders = []
-        for turn in range(MESSAGES):
-            poison = trouble() and turn == MESSAGES // 2
-            body = job_body(4, cpu=POISON_CPU if poison else USUAL_CPU)
-            sender = send_until_answered(system, turn, body)
-            senders.append(asyncio.create_task(sender))
-            await asyncio.sleep(POISON_S / MESSAGES)
-        deadline = system.record.now + WATCH_S
-        while system.record.now < deadline and not ended_too_often(ends):
-            if all(sender.done() for sender in senders):
+    """Return the runs that began beside another run of their task."""
+    born = round(1_000 * time.time())
+    async with System(
+        FOLDER,
+        ZONES,
+        HOSTS_PER_ZONE,
+        MINIONS_PER_ZONE,
+        lambda *_: (6_800, WORK_S),
+        born=born,
+    ) as system:
+        system.leaving = set()
+        await asyncio.sleep(4)
+        stopped = asyncio.Event()
+        callers = [
+            asyncio.create_task(send_jobs(system, host, stopped))
+            for host in system.hosts
+            for _ in range(CALLERS_PER_HOST)
+        ]
+        grey = [m for m in system.minions if m.zone == ZONE][:GREY]
+        for _ in range(ROUNDS):
+            await asyncio.sleep(2)
+            if trouble():
+                system.record.add("grey", minions=[m.id for m in grey])
+                for minion in grey:
+                    minion.mute = Mute()
+            end = system.record.now + GREY_S
+            await asyncio.sleep(0.5)
+            await stop_and_start(system, await owner_of(system, ZONE))
+            await asyncio.sleep(max(0, end - system.record.now))
+            for minion in grey:
+                minion.mute = lambda _: False
+            system.record.add("well", minions=[m.id for m in grey])
+            if find_overlaps(system.record):
                 break
-            await asyncio.sleep(0.1)
-        for task in (watcher, *senders):
-            task.cancel()
-        for name, count in sorted(ends.items()):
-            print(f"{name} ended by itself {count} times")
-    often = ended_too_often(ends)
-    return [f"Fault: {name} ended by itself {ends[name]} times" for name in often]
+        stopped.set()
+        await asyncio.gather(*callers)
+        return find_overlaps(system.record)
 
 
 main(case)
--- a/review/standins/hosts.py
+++ b/review/standins/hosts.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import random
 import re
 import shlex
 import signal
@@ -19,14 +20,22 @@
 
 
 def free_ports(count):
-    """Return ports on the loopback address that are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    for one in sockets:
-        one.bind(("127.0.0.1", 0))
-    ports = [one.getsockname()[1] for one in sockets]
-    for one in sockets:
-        one.close()
-    return ports
+    """Return ports on the loopback address that are free now.
+
+    They are below the range of the ports that outgoing connections take, as a host that
+    starts again needs the same ones.
+    """
+    found = []
+    while len(found) < count:
+        port = random.randrange(12_000, 32_000)
+        with socket.socket() as one:
+            try:
+                one.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        if port not in found:
+            found.append(port)
+    return found
 
 
 def render(template, values, zones):
--- a/review/standins/minion.py
+++ b/review/standins/minion.py
@@ -40,6 +40,10 @@
         self._end_count = 0
         self._ended = asyncio.Event()
         self._seq = 0
+        # The start of this minion in Unix ms; None if it does not report that.
+        self.born = None
+        # Returns whether a call is carried out but left unanswered.
+        self.mute = lambda _: False
 
     async def start(self):
         """Listen, and register in the store at each beat."""
@@ -83,6 +87,8 @@
             "ClockMs": self.clock_ms,
             "Seq": self._seq,
         }
+        if self.born is not None:
+            entry["born"] = self.born
         self._store.put(f"servers/{self.id}", json.dumps(entry).encode())
 
     async def _tick(self):
@@ -113,6 +119,13 @@
     async def _respond(self, request):
         if request.path == "/health":
             return 200, {}
+        muted = self.mute(request)
+        status, content = await self._carry_out(request)
+        if self.born is not None:
+            content["born"] = self.born
+        return None if muted else (status, content)
+
+    async def _carry_out(self, request):
         if request.headers.get("x-target-instance", self.id) != self.id:
             return 421, {}
         body = request.json()
--- a/review/standins/system.py
+++ b/review/standins/system.py
@@ -33,7 +33,15 @@
     """Hold the stand-ins and the hosts; end everything at the end of the block."""
 
     def __init__(
-        self, folder, zones, hosts_per_zone, minions_per_zone, plan, *, piped=False
+        self,
+        folder,
+        zones,
+        hosts_per_zone,
+        minions_per_zone,
+        plan,
+        *,
+        piped=False,
+        born=None,
     ):
         self.record = Record(folder)
         self.zones = zones
@@ -41,6 +49,7 @@
         self._minions_per_zone = minions_per_zone
         self._plan = plan
         self._piped = piped
+        self._born = born
         self.hosts = []
         self.minions = []
 
@@ -52,6 +61,7 @@
         for zone in self.zones:
             for number in range(self._minions_per_zone):
                 minion = Minion(self.store, self.record, number, zone, self._plan)
+                minion.born = self._born
                 self.minions.append(await minion.start())
         try:
             for zone in self.zones:
