--- a/review/1/case.py
+++ b/review/1/case.py
@@ -21,19 +21,26 @@
 CALLERS_PER_HOST = 3
 WORK_S = 1.2
 DEADLINE_MS = 1_535
-# Two minions of 16 for 6.6 s; of each eight calls of an owner, these go unanswered.
+# Two minions of 16 for 6.6 s; of each ten calls of an owner, these go unanswered.
 GREY, GREY_S = 2, 6.6
 UNANSWERED = (0, 2, 3)
-CALLS = 8
-ROUNDS = 7
+CALLS = 10
+ROUNDS = 9
 
 
 class Mute:
-    """Leave three of each eight calls of an owner unanswered."""
+    """Leave three of each ten calls of an owner unanswered."""
 
     def __init__(self):
         self._token = 0
         self._count = 0
+        self._asked = 0
+        self._muted = 0
+
+    @property
+    def share(self):
+        """Return the share of the calls that stayed unanswered."""
+        return self._muted / max(1, self._asked)
 
     def __call__(self, request):
         """Return whether this call stays unanswered."""
@@ -41,7 +48,9 @@
         if token > self._token:
             self._token, self._count = token, 0
         number, self._count = self._count % CALLS, self._count + 1
-        return number in UNANSWERED
+        muted = number in UNANSWERED
+        self._asked, self._muted = self._asked + 1, self._muted + muted
+        return muted
 
 
 async def send_jobs(system, host, stopped):
@@ -104,18 +113,18 @@
         ]
         grey = [m for m in system.minions if m.zone == ZONE][:GREY]
         for _ in range(ROUNDS):
-            await asyncio.sleep(2)
+            await asyncio.sleep(2.5)
             if trouble():
                 system.record.add("grey", minions=[m.id for m in grey])
                 for minion in grey:
                     minion.mute = Mute()
             end = system.record.now + GREY_S
-            await asyncio.sleep(0.5)
             await stop_and_start(system, await owner_of(system, ZONE))
             await asyncio.sleep(max(0, end - system.record.now))
+            shares = [round(m.mute.share, 3) for m in grey] if trouble() else []
             for minion in grey:
                 minion.mute = lambda _: False
-            system.record.add("well", minions=[m.id for m in grey])
+            system.record.add("well", minions=[m.id for m in grey], unanswered=shares)
             if find_overlaps(system.record):
                 break
         stopped.set()
