--- a/review/1/case.py
+++ b/review/1/case.py
@@ -21,15 +21,15 @@
 CALLERS_PER_HOST = 3
 WORK_S = 1.2
 DEADLINE_MS = 1_535
-# Two minions of 16 for 6.6 s; of each ten calls of an owner, these go unanswered.
+# Two minions of 16 for 6.6 s; of each 14 calls of an owner, these go unanswered.
 GREY, GREY_S = 2, 6.6
-UNANSWERED = (0, 2, 3)
-CALLS = 10
+UNANSWERED = (0, 2, 3, 4)
+CALLS = 14
 ROUNDS = 9
 
 
 class Mute:
-    """Leave three of each ten calls of an owner unanswered."""
+    """Leave four of each 14 calls of an owner unanswered."""
 
     def __init__(self):
         self._token = 0
