--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -154,7 +154,7 @@
 
     def _handle_gone(self) -> None:
         if not self._replaced:
-            self._owner.end_runs_on(self._minion, gone=True)
+            self._owner.end_runs_on(self._minion)
 
     def _handle_restart(self, born: int) -> NoReturn:
         if not self._replaced:
@@ -220,7 +220,7 @@
         await self._probe(lease=False, wait=_NO_WAIT)
 
     async def _await_expiry(self) -> None:
-        """Probe until the minion answers; expire its runs once every lease is over."""
+        """Probe until the minion answers; end its runs once they have expired."""
         if self._minion.reach is Reachability.LEASED:
             self._minion.reach = Reachability.UNREACHABLE
             self._silent_since = self._clock.monotonic()
@@ -229,20 +229,18 @@
         for key, record in self._minion.runs.items():
             if record.state in (RunState.STARTING, RunState.OUTCOME_UNKNOWN):
                 self._unresolved_starts[key] = now
-        expired = False
         pause = self._timing.probe_backoff
         while True:
+            # Another call may have been answered since the last time.
+            settled = await self._expire_runs()
             remaining = self._lease.time_to_expiry(self._clock.monotonic())
-            if remaining <= _NO_WAIT and not expired:
-                expired = await self._expire()
+            expired = settled and remaining <= _NO_WAIT
             try:
                 if expired or self._minion.reach is Reachability.UNPROBED:
                     await self._probe_throttled()
                 else:
                     await self._probe(lease=False, wait=_NO_WAIT)
             except MinionNoResponseError:
-                if expired or self._minion.reach is Reachability.UNPROBED:
-                    await self._expire_late_starts()
                 if expired:
                     await self._clock.sleep(pause)
                     pause = min(pause * 2, MAX_PROBE_BACKOFF)
@@ -252,65 +250,53 @@
                 continue
             return
 
-    async def _expire(self) -> bool:
-        """Record all runs of the minion as ended; return whether that was done.
+    async def _expire_runs(self) -> bool:
+        """End the runs that have expired; return False if the minion has answered.
 
         Another call may be answered while the store is queried. The minion is alive
         then, and the next probe shows which runs are active.
         """
-        answers = self._answer_count
         now = self._clock.monotonic()
+        expired = self._expired_runs(now)
+        if not expired:
+            return True
+        answers = self._answer_count
         lease_snapshot = self._lease.lease_snapshot(now)
         certain = not self._lease.may_be_extended(now)
-        if certain and self._minion.runs:
+        if certain:
             certain = await self._owner.confirm_ownership()
         if self._answer_count != answers:
             return False
         self._owner.expire_runs_on(
-            self._minion, lease_snapshot, certain=certain, kept=self._late_runs(now)
+            self._minion, lease_snapshot, expired, certain=certain
         )
         return True
 
-    def _late_runs(self, now: timedelta) -> set[tuple[TaskName, RunNumber]]:
-        """Return the runs that a later incarnation may have, or may still begin.
-
-        The lease of a late start counts on the clock of the incarnation that carries it
-        out, so the end of the known leases is no bound. Where minions do not report
-        when they started, another incarnation has another id and rejects the start.
-        """
-        if self._minion.entry.born is None:
-            return set()
+    def _expired_runs(self, now: timedelta) -> set[tuple[TaskName, RunNumber]]:
         return {
             key
             for key, record in self._minion.runs.items()
-            if not record.reported
-            and record.task is not None
-            and now < self._latest_effect(key)
+            if self._has_expired(record, now)
         }
 
-    def _latest_effect(self, key: tuple[TaskName, RunNumber]) -> timedelta:
-        sent = self._unanswered_starts.get(key)
-        return self._lease.all_expired_at() if sent is None else sent + MAX_EFFECT_DELAY
-
-    async def _expire_late_starts(self) -> None:
-        """End the runs that no incarnation can have or begin any more.
+    def _has_expired(self, record: RunRecord, now: timedelta) -> bool:
+        """Return whether no incarnation of the minion can have the run any more.
 
-        The ownership was confirmed seconds ago, or not at all if this session's
-        incarnation has never answered.
+        A run that this one has listed ends with its leases. Any other may begin on a
+        later one, where the lease of a late start counts on another clock, so the end
+        of the known leases is no bound. Where minions do not report when they started,
+        another incarnation has another id and rejects the start.
         """
-        if self._minion.entry.born is None:
-            return
-        answers = self._answer_count
-        now = self._clock.monotonic()
-        kept = self._late_runs(now)
-        if len(kept) == len(self._minion.runs):
-            return
-        lease_snapshot = self._lease.lease_snapshot(now)
-        certain = await self._owner.confirm_ownership()
-        if self._answer_count == answers:
-            self._owner.expire_runs_on(
-                self._minion, lease_snapshot, certain=certain, kept=kept
-            )
+        answered = self._lease.clock_known
+        if answered and self._lease.time_to_expiry(now) > _NO_WAIT:
+            return False
+        if record.reported or self._minion.entry.born is None:
+            return answered
+        return record.task is None or now >= self._latest_effect(record)
+
+    def _latest_effect(self, record: RunRecord) -> timedelta:
+        sent = self._unanswered_starts.get((record.name, record.run))
+        return self._lease.all_expired_at() if sent is None else sent + MAX_EFFECT_DELAY
 
     async def _probe_throttled(self) -> None:
         """Probe the minion within the limit on concurrent first calls."""
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -283,7 +283,7 @@
         return session
 
     def _forget_minion(self, minion: Minion) -> None:
-        self.end_runs_on(minion, gone=True)
+        self.end_runs_on(minion)
         self._durations.forget(minion.entry.key)
 
     async def _recover(self) -> None:
@@ -447,40 +447,36 @@
         self,
         minion: Minion,
         lease_snapshot: LeaseSnapshot,
+        expired: Container[tuple[TaskName, RunNumber]],
         *,
         certain: bool,
-        kept: Container[tuple[TaskName, RunNumber]] = (),
     ) -> None:
-        """Record that every lease on `minion` has expired.
+        """Record that the runs in `expired` have ended on `minion`, without a report.
 
-        Unless that is `certain`, the tasks there are not started elsewhere but returned
-        with an unknown outcome. Runs in `kept` may still begin, and stay.
+        Unless that is `certain`, no task there is started elsewhere, but all are
+        returned with an unknown outcome.
         """
-        if minion.runs:
-            self._events.leases_expired(minion, lease_snapshot, certain=certain)
-            if not certain:
-                self._runs.give_up_all(minion)
-        self.end_runs_on(minion, gone=False, kept=kept)
+        self._events.leases_expired(minion, lease_snapshot, certain=certain)
+        if certain:
+            self._end_runs(minion, expired)
+        else:
+            self._runs.give_up_all(minion)
+        self.dispatch()
 
-    def end_runs_on(
-        self,
-        minion: Minion,
-        *,
-        gone: bool,
-        kept: Container[tuple[TaskName, RunNumber]] = (),
-    ) -> None:
-        """Record that runs on `minion` have ended, and if `gone` the minion too.
+    def end_runs_on(self, minion: Minion) -> None:
+        """Record that `minion` is gone, and all its runs with it."""
+        minion.reach = Reachability.GONE
+        self._events.reach_changed(minion)
+        self._end_runs(minion, set(minion.runs))
+        self.dispatch()
 
-        Those in `kept` may still begin, and stay.
-        """
-        if gone:
-            minion.reach = Reachability.GONE
-            self._events.reach_changed(minion)
-        ended = self._runs.expire_all(minion, kept)
+    def _end_runs(
+        self, minion: Minion, keys: Container[tuple[TaskName, RunNumber]]
+    ) -> None:
+        ended = self._runs.expire(minion, keys)
         if minion.entry.born is not None:
             for record in ended:
                 self._adopt_other_run(record.task)
-        self.dispatch()
 
 
 __all__ = ["PoolOwner"]
--- a/src/brasstray/pool/run_tracker.py
+++ b/src/brasstray/pool/run_tracker.py
@@ -266,16 +266,14 @@
             if record.task is not None:
                 self._tasks.give_up(record.task)
 
-    def expire_all(
-        self,
-        minion: Minion,
-        kept: Container[tuple[TaskName, RunNumber]] = (),
+    def expire(
+        self, minion: Minion, keys: Container[tuple[TaskName, RunNumber]]
     ) -> list[RunRecord]:
-        """Record that all leases on `minion` have expired, and its runs with them.
+        """Record that the runs in `keys` have ended on `minion`, and return them.
 
-        Return those. Runs in `kept` may still begin on a later incarnation of it.
+        Their leases have expired or their minion is gone, so no report will say so.
         """
-        ended = [record for key, record in minion.runs.items() if key not in kept]
+        ended = [record for key, record in minion.runs.items() if key in keys]
         for record in ended:
             minion.release(record)
             self._handle_end(minion, record, _end_without_report(record))
