--- a/src/brasstray/batch/outcome.py
+++ b/src/brasstray/batch/outcome.py
@@ -33,6 +33,8 @@
     OVERLOADED = "overloaded"
     POOL_LOST = "pool_lost"
     TASK_FAILED = "task_failed"
+    IMPOSSIBLE = "impossible"
+    ERROR = "error"
     CALLER_GONE = "caller_gone"
     CANCELLED = "cancelled"
     UNSUPPORTED = "unsupported"
--- a/src/brasstray/coordinator/coordinator.py
+++ b/src/brasstray/coordinator/coordinator.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+from contextlib import contextmanager
 from datetime import timedelta
 from typing import TYPE_CHECKING
 from zlib import crc32
 
 import anyio
 
+from brasstray.batch.limits import can_run
 from brasstray.batch.outcome import BatchOutcome, BatchResult, GiveUpReason
 from brasstray.batch.task_name import TaskName
+from brasstray.clock.bounded import bounded_ms
 from brasstray.coordinator.active_batch import ActiveBatch
 from brasstray.coordinator.retry_spread import RetrySpread
 from brasstray.peer.message.run_tasks import RunTasks
@@ -18,7 +21,7 @@
 from brasstray.pool.decayed_work import DecayedWork
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Iterator
     from random import Random
 
     from brasstray.batch.batch import Batch
@@ -35,6 +38,9 @@
 _MILLISECOND = timedelta(milliseconds=1)
 # An answer that misses its objective is useful up to three times the objective.
 USEFUL_OBJECTIVE_FACTOR = 3
+# A longer wait is no forecast: nothing is known of a pool without minions.
+MAX_RETRY_AFTER = timedelta(minutes=1)
+_FAILED_BY_ERROR = BatchResult(BatchOutcome.FAILED, GiveUpReason.ERROR)
 
 
 class Coordinator:
@@ -80,8 +86,29 @@
         """Run `batch` and return its result, at the latest after `timeout`.
 
         If the call is cancelled and no other caller waits for the same job, the runs of
-        the job are stopped.
+        the job are stopped. A job that no minion can ever run, or whose handling raises
+        an error, has failed, as it would fare no better wherever it was sent again.
         """
+        if not can_run(batch):
+            needs = "; ".join(str(step.needs) for step in batch.steps)
+            self._events.request_refused(batch.id, GiveUpReason.IMPOSSIBLE, needs)
+            return BatchResult(BatchOutcome.FAILED, GiveUpReason.IMPOSSIBLE)
+        with self._contain_errors(batch.id):
+            return await self._run(batch, queue, timeout)
+        return _FAILED_BY_ERROR
+
+    @contextmanager
+    def _contain_errors(self, batch: BatchId) -> Iterator[None]:
+        """Fail the job alone if an error is raised, so that all others go on."""
+        try:
+            yield
+        except Exception as error:  # noqa: BLE001 - any error of one job
+            self._events.job_failed(batch, error)
+            active = self._active.get(batch)
+            if active is not None:
+                self._end(active, _FAILED_BY_ERROR)
+
+    async def _run(self, batch: Batch, queue: Queue, timeout: timedelta) -> BatchResult:
         active = self._active.get(batch.id)
         if active is None:
             active = self._add_job(batch, queue, timeout)
@@ -224,6 +251,12 @@
         active = self._active.get(message.batch)
         if active is None:
             return
+        with self._contain_errors(message.batch):
+            self._record_ends(active, pool, message)
+
+    def _record_ends(
+        self, active: ActiveBatch, pool: PoolId, message: TasksEnded
+    ) -> None:
         if message.failed:
             failed = BatchResult(BatchOutcome.FAILED, GiveUpReason.TASK_FAILED)
             self._end(active, failed)
@@ -246,6 +279,12 @@
         active = self._active.get(message.batch)
         if active is None:
             return
+        with self._contain_errors(message.batch):
+            self._take_back(active, pool, message)
+
+    def _take_back(
+        self, active: ActiveBatch, pool: PoolId, message: TasksReturned
+    ) -> None:
         indices = [
             index
             for index in message.indices
@@ -295,7 +334,8 @@
     def _refuse_overloaded(
         self, active: ActiveBatch, returned: int, wait_ms: int
     ) -> None:
-        earliest = max(self._timing.retry_after, wait_ms * _MILLISECOND)
+        known = min(bounded_ms(wait_ms), MAX_RETRY_AFTER)
+        earliest = max(self._timing.retry_after, known)
         now = self._clock.monotonic()
         wait = self._retry_spread.choose(active.queue.priority, earliest, now)
         self._end_unfinished(active, returned, GiveUpReason.OVERLOADED, wait)
@@ -326,16 +366,20 @@
         """
         self._unreachable_since.pop(pool, None)
         for active in list(self._active.values()):
-            batch = active.batch.id
-            for step_number, placed in active.indices_at(pool).items():
-                indices = [
-                    i for i in placed if TaskName(batch, step_number, i) not in sent
-                ]
-                if not indices:
-                    continue
-                active.begun = True
-                self._events.claimed(active, len(indices), pool)
-                self._send(active, step_number, indices, pool, claimed=True)
+            with self._contain_errors(active.batch.id):
+                self._claim_job(active, pool, sent)
+
+    def _claim_job(
+        self, active: ActiveBatch, pool: PoolId, sent: frozenset[TaskName]
+    ) -> None:
+        batch = active.batch.id
+        for step_number, placed in active.indices_at(pool).items():
+            indices = [i for i in placed if TaskName(batch, step_number, i) not in sent]
+            if not indices:
+                continue
+            active.begun = True
+            self._events.claimed(active, len(indices), pool)
+            self._send(active, step_number, indices, pool, claimed=True)
 
     def has_tasks_at(self, pool: PoolId) -> bool:
         """Return whether an unfinished task is placed at `pool`."""
--- a/src/brasstray/coordinator/events.py
+++ b/src/brasstray/coordinator/events.py
@@ -7,8 +7,8 @@
 if TYPE_CHECKING:
     from datetime import timedelta
 
-    from brasstray.batch.ids import PoolId
-    from brasstray.batch.outcome import BatchResult
+    from brasstray.batch.ids import BatchId, PoolId
+    from brasstray.batch.outcome import BatchResult, GiveUpReason
     from brasstray.coordinator.active_batch import ActiveBatch
 
 
@@ -20,6 +20,12 @@
     ) -> None:
         """Record that a job has its result, `took` after it was submitted."""
 
+    def request_refused(self, job: str, reason: GiveUpReason, detail: str) -> None:
+        """Record that a job was refused before any task of it was queued."""
+
+    def job_failed(self, batch: BatchId, error: Exception) -> None:
+        """Record that handling a job raised an error, which ends the job."""
+
     def moved(self, active: ActiveBatch, count: int, pool: PoolId) -> None:
         """Record that tasks were sent to another pool than the previous one."""
 
--- a/src/brasstray/host/coordinator_contact.py
+++ b/src/brasstray/host/coordinator_contact.py
@@ -2,16 +2,16 @@
 
 from __future__ import annotations
 
-from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from brasstray.clock.bounded import bounded_ms
+
 if TYPE_CHECKING:
     from collections.abc import Callable
+    from datetime import timedelta
 
     from brasstray.peer.message.pool_state import PoolState
 
-_MILLISECOND = timedelta(milliseconds=1)
-
 
 class CoordinatorContact:
     """Keep the oldest last contact of all runs in a pool, as its owners report it.
@@ -43,7 +43,7 @@
         if state.contact_age_ms is not None and state.acknowledged_ms is not None:
             created_ms = state.acknowledged_ms + state.acknowledged_age_ms
             contact_ms = created_ms - state.contact_age_ms
-            last_contact = contact_ms * _MILLISECOND
+            last_contact = bounded_ms(contact_ms)
             if self._last_contact is None or last_contact > self._last_contact:
                 self._last_contact = last_contact
 
--- a/src/brasstray/host/event_log.py
+++ b/src/brasstray/host/event_log.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+import traceback
 from datetime import timedelta
+from pathlib import Path
 from typing import TYPE_CHECKING
 
 from eliot import log_message
@@ -12,7 +14,7 @@
 
 if TYPE_CHECKING:
     from brasstray.batch.evacuation_set import EvacuationSet
-    from brasstray.batch.ids import ConfigVersion, FencingToken, PoolId
+    from brasstray.batch.ids import BatchId, ConfigVersion, FencingToken, PoolId
     from brasstray.batch.outcome import BatchResult, GiveUpReason
     from brasstray.coordinator.active_batch import ActiveBatch
     from brasstray.job.ids import HostName
@@ -31,6 +33,7 @@
 _MILLISECOND = timedelta(milliseconds=1)
 # Ignored entries that are remembered as logged; a fleet has a few hundred minions.
 MAX_IGNORED_ENTRIES = 1_000
+MAX_ERROR_LENGTH = 200
 
 
 class EventLog:
@@ -68,6 +71,16 @@
             else None,
         )
 
+    def job_failed(self, batch: BatchId, error: Exception) -> None:
+        """Record that handling a job raised an error, which ends the job."""
+        self._metrics.count_reason("job_error")
+        log_message(
+            "brasstray:job_error",
+            job=batch,
+            error=repr(error)[:MAX_ERROR_LENGTH],
+            where=_origin(error),
+        )
+
     def moved(self, active: ActiveBatch, count: int, pool: PoolId) -> None:
         """Record that tasks are sent to another pool than the first one."""
         self._metrics.count_reason("moved")
@@ -264,6 +277,19 @@
             report_age_ms=reason.report_age_ms,
         )
 
+    def step_failed(
+        self, batch: BatchId, step: int, error: BaseException | None, detail: str
+    ) -> None:
+        """Record that the tasks of a step have failed without a run."""
+        self._metrics.count_reason("step_failed")
+        log_message(
+            "brasstray:step_failed",
+            job=batch,
+            step=step,
+            error=detail[:MAX_ERROR_LENGTH],
+            where=_origin(error),
+        )
+
     def dropped(self, step: StepTasks, reason: str) -> None:
         """Record that the tasks of a step are no longer needed."""
         self._metrics.count_reason(f"dropped_{reason}")
@@ -435,6 +461,12 @@
         log_message("brasstray:draining")
 
 
+def _origin(error: BaseException | None) -> str:
+    """Return the file and line at which `error` was raised."""
+    trace = traceback.extract_tb(error.__traceback__) if error else None
+    return f"{Path(trace[-1].filename).name}:{trace[-1].lineno}" if trace else ""
+
+
 def _run_fields(minion: Minion, record: RunRecord) -> dict[str, object]:
     """Return the fields that identify a run in a log line."""
     return {
--- a/src/brasstray/host/minion_feed.py
+++ b/src/brasstray/host/minion_feed.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from brasstray.batch.limits import is_possible
 from brasstray.peer.message.pool_minions import PoolMinions
 from brasstray.store.errors import StoreUnavailableError
 
@@ -48,8 +49,11 @@
         return self._last_known_minions
 
     def record_minions(self, minions: tuple[MinionEntry, ...]) -> None:
-        """Record the minions that another host holds as the owner of the pool."""
-        self._last_known_minions = minions
+        """Record the minions that another host holds as the owner of the pool.
+
+        Those with a capacity that no machine has are left out.
+        """
+        self._last_known_minions = tuple(m for m in minions if is_possible(m.capacity))
 
     def send_minions(self, link: RequesterLink) -> None:
         """Send the minions of the pool to a host that may take the pool over."""
--- a/src/brasstray/platform/body.py
+++ b/src/brasstray/platform/body.py
@@ -3,13 +3,18 @@
 from __future__ import annotations
 
 from functools import cache
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Annotated, Any
 
 import msgspec
 
 if TYPE_CHECKING:
     from typing import Self
 
+# Larger integers lose digits in JSON readers that use floating-point numbers.
+MAX_WHOLE = 2**53 - 1
+Whole = Annotated[int, msgspec.Meta(ge=0, le=MAX_WHOLE)]
+ClockMs = Annotated[int, msgspec.Meta(ge=-MAX_WHOLE, le=MAX_WHOLE)]
+
 
 class UnreadableBodyError(Exception):
     """The text is not a valid JSON body of the requested type."""
@@ -53,4 +58,4 @@
     return msgspec.json.Decoder(body_type, strict=strict)
 
 
-__all__ = ["Body", "UnreadableBodyError"]
+__all__ = ["MAX_WHOLE", "Body", "ClockMs", "UnreadableBodyError", "Whole"]
--- a/src/brasstray/platform/configuration_body.py
+++ b/src/brasstray/platform/configuration_body.py
@@ -9,9 +9,16 @@
 from brasstray.batch.configuration import BodyLimits, Configuration
 from brasstray.batch.ids import ConfigVersion, QueueName
 from brasstray.batch.queue import Queue
+from brasstray.clock.bounded import bounded_ms
 from brasstray.host.operator_source import UnreadableConfigError
 from brasstray.job.ids import ServiceName
-from brasstray.platform.body import Body, UnreadableBodyError
+from brasstray.platform.body import Body, UnreadableBodyError, Whole
+
+# Larger numbers in a route count as these.
+MAX_PRIORITY = 1_000
+MAX_ATTEMPTS = 1_000
+MAX_STRETCH = 1_000.0
+MAX_SLACK = timedelta(days=1)
 
 
 class Route(Body, frozen=True, kw_only=True):
@@ -33,10 +40,10 @@
             self.host,
             self.prefix,
             ServiceName(self.service),
-            self.priority,
-            max(1, self.attempts),
-            self.stretch,
-            timedelta(milliseconds=self.slo_ms),
+            max(-MAX_PRIORITY, min(self.priority, MAX_PRIORITY)),
+            max(1, min(self.attempts, MAX_ATTEMPTS)),
+            max(0.0, min(self.stretch, MAX_STRETCH)),
+            max(timedelta(0), min(bounded_ms(self.slo_ms), MAX_SLACK)),
         )
 
 
@@ -55,7 +62,7 @@
 class ConfigurationBody(Body, frozen=True, kw_only=True):
     """Describe a whole configuration."""
 
-    version: int
+    version: Whole
     routes: list[Route] = msgspec.field(default_factory=list)
     services: list[ServiceBody] = msgspec.field(default_factory=list)
     limits: Limits = msgspec.field(default_factory=Limits)
--- a/src/brasstray/platform/job_app.py
+++ b/src/brasstray/platform/job_app.py
@@ -11,7 +11,9 @@
 import anyio
 
 from brasstray.batch.ids import BatchId
+from brasstray.batch.limits import MAX_TIMEOUT
 from brasstray.batch.outcome import BatchOutcome, BatchResult, GiveUpReason
+from brasstray.clock.bounded import bounded_ms
 from brasstray.http.exchange import HttpResponse, header, json_response, read_body
 from brasstray.platform.job_bodies import (
     UnreadableJobError,
@@ -103,7 +105,7 @@
         results: list[BatchResult] = []
 
         async def run(run_scope: anyio.CancelScope) -> None:
-            found = await self._host.run_job(batch, queue, _timeout(scope))
+            found = await self._host.run_job(batch, queue, caller_timeout(scope))
             results.append(found)
             run_scope.cancel()
 
@@ -116,12 +118,16 @@
         return _answer(results[0]) if results else None
 
 
-def _timeout(scope: Scope) -> timedelta:
+def caller_timeout(scope: Scope) -> timedelta:
+    """Return how long the caller waits for its answer, as it states in a header."""
     text = header(scope, DEADLINE_HEADER)
     try:
-        return timedelta(milliseconds=float(text)) if text else DEFAULT_TIMEOUT
-    except (ValueError, OverflowError):
+        stated = float(text) if text else math.nan
+    except ValueError:
+        stated = math.nan
+    if not math.isfinite(stated):
         return DEFAULT_TIMEOUT
+    return min(max(timedelta(0), bounded_ms(stated)), MAX_TIMEOUT)
 
 
 def _answer(result: BatchResult) -> HttpResponse:
@@ -149,4 +155,4 @@
     )
 
 
-__all__ = ["JobApp"]
+__all__ = ["DEFAULT_TIMEOUT", "JobApp", "caller_timeout"]
--- a/src/brasstray/platform/job_bodies.py
+++ b/src/brasstray/platform/job_bodies.py
@@ -9,12 +9,14 @@
 
 from brasstray.batch.batch import Batch
 from brasstray.batch.ids import BatchId
+from brasstray.batch.limits import MAX_ESTIMATE
 from brasstray.batch.resources import Resources
 from brasstray.batch.step import Step
 from brasstray.platform.body import Body, UnreadableBodyError
 
 # Upper bound for one step; the largest job at full scale has 1,700 tasks.
 MAX_TASKS_PER_STEP = 10_000
+_MAX_ESTIMATE_MS = MAX_ESTIMATE // timedelta(milliseconds=1)
 _NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
 
 
@@ -53,11 +55,11 @@
         return Step(
             self.count,
             Resources(self.cpu, self.mem_mb, self.gpu),
-            timedelta(milliseconds=max(1, self.est_ms)),
+            timedelta(milliseconds=max(1, min(self.est_ms, _MAX_ESTIMATE_MS))),
             tuple(self.after),
             self.data_rack,
             self.required_label,
-            self.max_per_server,
+            min(self.max_per_server, MAX_TASKS_PER_STEP),
         )
 
 
--- a/src/brasstray/platform/minion_bodies.py
+++ b/src/brasstray/platform/minion_bodies.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from brasstray.batch.ids import RunNumber
-from brasstray.platform.body import Body
+from brasstray.platform.body import MAX_WHOLE, Body, ClockMs
 from brasstray.platform.task_name_format import parse_task_name
 from brasstray.pool.incarnation import parse_born
 from brasstray.pool.probe_reply import ActiveRun, EndedRun, ProbeReply, RunEnd
@@ -21,6 +21,8 @@
     "alone": RunEnd.BROKEN,
 }
 
+MAX_PERCENT = 100
+
 
 class StartBody(Body, frozen=True, kw_only=True):
     """Request the start of a run.
@@ -62,7 +64,7 @@
     `born` is the minion's start as written by it, of any type.
     """
 
-    clock_ms: int = 0
+    clock_ms: ClockMs = 0
     reason: str = ""
     born: Any = msgspec.field(default=msgspec.UNSET, name="born")
 
@@ -75,7 +77,7 @@
     the minion's start as written by it, of any type.
     """
 
-    clock_ms: int
+    clock_ms: ClockMs
     running: list[list[str | int | float]] = msgspec.field(default_factory=list)
     finished: list[list[str | int | float]] = msgspec.field(default_factory=list)
     born: Any = msgspec.field(default=msgspec.UNSET, name="born")
@@ -86,14 +88,18 @@
         Raises ValueError, KeyError or IndexError if a row or `born` is malformed.
         """
         active = tuple(
-            ActiveRun(parse_task_name(str(row[0])), RunNumber(int(row[1])), int(row[3]))
+            ActiveRun(
+                parse_task_name(str(row[0])),
+                RunNumber(_whole(row[1])),
+                int(max(0.0, min(float(row[3]), MAX_PERCENT))),
+            )
             for row in self.running
         )
         ended = tuple(
             EndedRun(
-                int(row[0]),
+                _whole(row[0]),
                 parse_task_name(str(row[1])),
-                RunNumber(int(row[2])),
+                RunNumber(_whole(row[2])),
                 _RUN_END_BY_TEXT[str(row[3])],
             )
             for row in self.finished
@@ -101,6 +107,14 @@
         return ProbeReply(self.clock_ms, active, ended, read_born(self.born))
 
 
+def _whole(column: str | float) -> int:
+    """Return the whole number in a column; raise ValueError if it is out of range."""
+    number = float(column)
+    if not 0 <= number <= MAX_WHOLE:
+        raise ValueError(f"invalid number {number}")
+    return int(column)
+
+
 def read_born(field: object) -> int | None:
     """Return the time of start in a decoded field, None if that is absent.
 
--- a/src/brasstray/platform/minion_listing.py
+++ b/src/brasstray/platform/minion_listing.py
@@ -7,6 +7,7 @@
 
 import msgspec
 
+from brasstray.batch.limits import MAX_RESOURCES
 from brasstray.batch.resources import Resources
 from brasstray.job.ids import DataCentreName, MinionId, ServiceName
 from brasstray.platform.body import Body, UnreadableBodyError
@@ -22,7 +23,6 @@
 
 SERVERS_PREFIX = "servers/"
 _DRAINING_BY_STATE = {"ready": False, "draining": True}
-_NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
 # No minion takes this long to warm up; larger values are invalid and are capped.
 MAX_WARM_UP_MS = 600_000
 # The id is sent to the minion in a header, so it must hold no line break or space.
@@ -32,9 +32,9 @@
 class CapacityBody(Body, frozen=True, kw_only=True):
     """Hold a minion's resources; `cpu` is in thousandths of a core."""
 
-    cpu: _NonNegativeInt
-    mem_mb: _NonNegativeInt
-    gpu: _NonNegativeInt = 0
+    cpu: Annotated[int, msgspec.Meta(ge=0, le=MAX_RESOURCES.cpu_millis)]
+    mem_mb: Annotated[int, msgspec.Meta(ge=0, le=MAX_RESOURCES.memory_mb)]
+    gpu: Annotated[int, msgspec.Meta(ge=0, le=MAX_RESOURCES.gpus)] = 0
 
 
 class ServerBody(Body, frozen=True, kw_only=True):
@@ -106,7 +106,7 @@
         Resources(body.capacity.cpu, body.capacity.mem_mb, body.capacity.gpu),
         body.labels,
         _DRAINING_BY_STATE[body.state],
-        max(0, int(min(body.cold_left_ms, MAX_WARM_UP_MS))),
+        int(max(0.0, min(body.cold_left_ms, MAX_WARM_UP_MS))),
         born,
     )
 
--- a/src/brasstray/platform/store_bodies.py
+++ b/src/brasstray/platform/store_bodies.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from brasstray.platform.body import Body
+from brasstray.platform.body import Body, Whole
 from brasstray.store.entry import StoreEntry
 from brasstray.store.watchable_store import Changes
 
@@ -16,7 +16,7 @@
 
     key: str
     value: str = ""
-    revision: int
+    revision: Whole
     removed: bool = False
 
     def to_entry(self) -> StoreEntry:
@@ -37,14 +37,14 @@
 
     items: list[Item] = msgspec.field(default_factory=list, name="items")
     has_more: bool = False
-    as_of: int
+    as_of: Whole
 
 
 class WatchReply(Body, frozen=True, kw_only=True):
     """Hold the changes under a prefix, and the revision to watch from next."""
 
     events: list[Item] = msgspec.field(default_factory=list, name="events")
-    as_of: int
+    as_of: Whole
 
     def to_changes(self) -> Changes:
         """Convert the events, keeping the last one of each key.
@@ -85,7 +85,7 @@
 class TransactionReply(Body, frozen=True, kw_only=True):
     """Hold the revision that a transaction created."""
 
-    revision: int
+    revision: Whole
 
 
 def encode_compare_and_swap(name: str, value: bytes, expected: int) -> bytes:
--- a/src/brasstray/pool/dispatcher.py
+++ b/src/brasstray/pool/dispatcher.py
@@ -14,6 +14,7 @@
 from brasstray.pool.pool_task import TaskPhase
 from brasstray.pool.run_record import RunRecord, RunState
 from brasstray.pool.start_limit import StartLimit
+from brasstray.pool.step_error import StepError, attributed_to
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -46,7 +47,8 @@
 
     `may_start` returns whether starts are allowed yet. While `evacuated` returns true,
     all waiting tasks are moved to other pools, whatever they wait for: a new request, a
-    claim, a failed run or a stopped straggler.
+    claim, a failed run or a stopped straggler. `fail_step` ends a step whose handling
+    raised an error.
     """
 
     def __init__(
@@ -60,7 +62,9 @@
         events: OwnerEvents,
         may_start: Callable[[], bool],
         evacuated: Callable[[], bool],
+        fail_step: Callable[[StepError], None],
     ) -> None:
+        self._fail_step = fail_step
         self._tasks = tasks
         self._roster = roster
         self._start_limit = StartLimit(roster, timing)
@@ -82,10 +86,17 @@
         """Return the free slots and the expected wait of a new task."""
         now = self._clock.monotonic()
         if now >= self._load_valid_until:
-            self._load = self._sharing.load()
+            self._load = self._read_load()
             self._load_valid_until = now + LOAD_CACHE_TTL
         return self._load
 
+    def _read_load(self) -> PoolLoad:
+        try:
+            return self._sharing.load()
+        except StepError as error:
+            self._fail_step(error)
+            return PoolLoad()
+
     def wake(self) -> None:
         """Schedule a dispatch, as capacity may have become free."""
         self._wake.set()
@@ -110,8 +121,13 @@
         while True:
             await self._wake.wait()
             self._wake = anyio.Event()
-            if self._may_start():
+            if not self._may_start():
+                continue
+            try:
                 self._dispatch()
+            except StepError as error:
+                self._fail_step(error)
+                self.wake()
 
     def _dispatch(self) -> None:
         waiting = [step for step in self._tasks.steps if step.waiting]
@@ -135,7 +151,8 @@
             return
         waiting = self._sharing.plan.order(waiting, now)
         for step in waiting:
-            self._start_tasks(step, minions, now)
+            with attributed_to(step):
+                self._start_tasks(step, minions, now)
         if review:
             self._review_due = False
             self._sharing.forward_or_reject(
--- a/src/brasstray/pool/load_sharing.py
+++ b/src/brasstray/pool/load_sharing.py
@@ -6,6 +6,7 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from brasstray.clock.bounded import bounded_ms, bounded_seconds
 from brasstray.peer.message.tasks_returned import TasksReturned
 from brasstray.pool.caller_shares import CallerShares
 from brasstray.pool.capacity_forecast import HORIZON, forecast
@@ -14,6 +15,7 @@
 from brasstray.pool.pool_load import PoolLoad
 from brasstray.pool.rejection_reason import RejectionReason
 from brasstray.pool.shortage import NEVER, ShortagePlan, waits_by_priority
+from brasstray.pool.step_error import attributed_to
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
@@ -84,7 +86,8 @@
             return
         now = self._clock.monotonic()
         expected = self._durations.expected(step, None, ())
-        self._shares.record_report(step, message.done_ms / 1_000, now)
+        done = bounded_ms(message.done_ms).total_seconds()
+        self._shares.record_report(step, done, now)
         if not message.claimed:
             self._shares.record_demand(step, expected, len(message.indices), now)
 
@@ -120,11 +123,12 @@
             return
         kept = []
         for step in waiting_steps:
-            self._decide(step, ahead, loads, now)
-            if step.waiting:
-                planned, ahead = self._plan.plan_step(step, ahead)
-                kept.append(planned)
-                step.admitted = True
+            with attributed_to(step):
+                self._decide(step, ahead, loads, now)
+                if step.waiting:
+                    planned, ahead = self._plan.plan_step(step, ahead)
+                    kept.append(planned)
+                    step.admitted = True
         self._waits = waits_by_priority(kept, next_free)
 
     def _review_as_usual(
@@ -139,16 +143,28 @@
         """
         wait = timedelta(0)
         for step in waiting_steps:
-            expected = self._durations.expected(step, None, ())
-            lost = self._misses_deadline(step, now, wait, expected)
-            if lost and self._count_without_slot(step, loads):
-                self._reject(step, wait, loads)
-            elif not step.forwarded:
-                self._fill_free_slots(step, loads)
-            step.admitted = True
-            # Later steps wait until the tasks of this one have ended.
-            work = expected * len(step.waiting)
-            wait += work * step.needs.cpu_millis / self._capacity
+            with attributed_to(step):
+                wait = self._review_step(step, loads, now, wait)
+
+    def _review_step(
+        self,
+        step: StepTasks,
+        loads: dict[PoolId, PoolLoad],
+        now: timedelta,
+        wait: timedelta,
+    ) -> timedelta:
+        """Forward or reject a step that has to `wait`; return the wait of the next."""
+        expected = self._durations.expected(step, None, ())
+        lost = self._misses_deadline(step, now, wait, expected)
+        if lost and self._count_without_slot(step, loads):
+            self._reject(step, wait, loads)
+        elif not step.forwarded:
+            self._fill_free_slots(step, loads)
+        step.admitted = True
+        # Later steps wait until the tasks of this one have ended.
+        work = step.work(expected, len(step.waiting))
+        seconds = 1_000 * work / self._capacity
+        return min(wait + bounded_seconds(seconds), NEVER)
 
     def _decide(
         self,
@@ -259,11 +275,17 @@
         self._measure_backlog()
         loads = self._others.loads()
         for step in waiting_steps:
-            if loads:
-                self._fill_free_slots(step, loads)
-                self._queue_elsewhere(step, loads)
-            elif not self._others.any_connectable() or self._is_useless(step, now):
-                self._reject(step, timedelta(0), loads)
+            with attributed_to(step):
+                self._evacuate_step(step, loads, now)
+
+    def _evacuate_step(
+        self, step: StepTasks, loads: dict[PoolId, PoolLoad], now: timedelta
+    ) -> None:
+        if loads:
+            self._fill_free_slots(step, loads)
+            self._queue_elsewhere(step, loads)
+        elif not self._others.any_connectable() or self._is_useless(step, now):
+            self._reject(step, timedelta(0), loads)
 
     def _queue_elsewhere(self, step: StepTasks, loads: dict[PoolId, PoolLoad]) -> None:
         """Send the remaining tasks of `step` to the pool where they end first."""
@@ -280,7 +302,8 @@
 
         The other pools are assumed to be as large as this one.
         """
-        return expected * step.needs.cpu_millis / self._capacity
+        seconds = 1_000 * step.work(expected, 1) / self._capacity
+        return min(bounded_seconds(seconds), NEVER)
 
     def _queue_at(
         self, step: StepTasks, pool: PoolId, loads: dict[PoolId, PoolLoad]
@@ -382,10 +405,12 @@
 
     @property
     def _backlog_ms(self) -> int:
-        return round(1e6 * self._backlog / self._capacity)
+        longest_ms = NEVER / _MILLISECOND
+        return round(min(1e6 * self._backlog / self._capacity, longest_ms))
 
     def _work(self, step: StepTasks, count: int) -> float:
-        return step.work(self._durations.expected(step, None, ()), count)
+        with attributed_to(step):
+            return step.work(self._durations.expected(step, None, ()), count)
 
     @property
     def _slot_cpu(self) -> float:
--- a/src/brasstray/pool/minion.py
+++ b/src/brasstray/pool/minion.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from brasstray.batch.resources import Resources
+from brasstray.clock.bounded import bounded_ms
 from brasstray.pool.minion_health import MinionHealth
 from brasstray.pool.pool_task import TaskPhase
 
@@ -63,7 +64,7 @@
         """Replace the entry with the one read at `now`."""
         self.entry = entry
         self._described = True
-        self._cold_until = now + timedelta(milliseconds=entry.cold_left_ms)
+        self._cold_until = now + bounded_ms(entry.cold_left_ms)
 
     def await_entry(self) -> None:
         """Start nothing here until an entry is read.
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -9,7 +9,10 @@
 import anyio
 
 from brasstray.batch.ids import RunNumber
+from brasstray.batch.limits import is_possible
+from brasstray.batch.resources import Resources
 from brasstray.batch.task_name import TaskName
+from brasstray.peer.message.tasks_ended import TasksEnded
 from brasstray.pool.contact_bound import ContactBound
 from brasstray.pool.dispatcher import Dispatcher
 from brasstray.pool.durations import Durations
@@ -24,6 +27,7 @@
 from brasstray.pool.roster import Roster
 from brasstray.pool.run_record import RunState
 from brasstray.pool.run_tracker import RunTracker
+from brasstray.pool.step_error import StepError, attributed_to
 from brasstray.pool.task_registry import TaskRegistry
 from brasstray.pool.task_size import TaskSize
 
@@ -152,6 +156,7 @@
             events,
             self._may_start,
             evacuated,
+            self._fail_step,
         )
 
     @property
@@ -305,7 +310,20 @@
         """Accept tasks, or claims to tasks that a previous owner was given."""
         if self._deposed.is_set():
             return
+        needs = Resources(message.cpu_millis, message.memory_mb, message.gpus)
+        if not is_possible(needs):
+            # The coordinator may be of a version that does not check this.
+            self._events.step_failed(message.batch, message.step, None, str(needs))
+            self._report_failed(requester, message.batch, message.step, message.indices)
+            return
         step = self._tasks.get_or_add(requester, message)
+        try:
+            with attributed_to(step):
+                self._accept_tasks(step, message)
+        except StepError as error:
+            self._fail_step(error)
+
+    def _accept_tasks(self, step: StepTasks, message: RunTasks) -> None:
         for index in message.indices:
             self._accept_task(step, index, claimed=message.claimed)
         if message.claimed:
@@ -315,6 +333,27 @@
         self._tasks.forget_if_empty(step)
         self.review()
 
+    def _fail_step(self, error: StepError) -> None:
+        """Fail the tasks of a step, as handling it raised an error.
+
+        The step would raise it again at each review, here and wherever else it was
+        sent, so its job ends, and all others go on.
+        """
+        if self._deposed.is_set():
+            return
+        step, cause = error.step, error.__cause__
+        self._events.step_failed(step.batch, step.step, cause, repr(cause))
+        failed = tuple(step.tasks)
+        if step in self._tasks.steps:
+            self._drop(step, "error")
+        self._report_failed(step.requester, step.batch, step.step, failed)
+        self.dispatch()
+
+    def _report_failed(
+        self, requester: Requester, batch: BatchId, step: int, indices: tuple[int, ...]
+    ) -> None:
+        requester.send(TasksEnded(batch=batch, step=step, done=(), failed=indices))
+
     def _accept_task(self, step: StepTasks, index: int, *, claimed: bool) -> None:
         if index in step.tasks:
             return
--- a/src/brasstray/pool/owner_events.py
+++ b/src/brasstray/pool/owner_events.py
@@ -7,7 +7,7 @@
 if TYPE_CHECKING:
     from datetime import timedelta
 
-    from brasstray.batch.ids import PoolId
+    from brasstray.batch.ids import BatchId, PoolId
     from brasstray.pool.errors import StartRefusal
     from brasstray.pool.incarnation import SeenIn
     from brasstray.pool.lease_snapshot import LeaseSnapshot
@@ -115,6 +115,11 @@
         In an evacuated data centre, no other pool was reachable to send them to.
         """
 
+    def step_failed(
+        self, batch: BatchId, step: int, error: BaseException | None, detail: str
+    ) -> None:
+        """The tasks of a step have failed, by `error` or by what they need."""
+
     def dropped(self, step: StepTasks, reason: str) -> None:
         """The tasks of a step are no longer wanted, or their outcome is unknown."""
 
--- a/src/brasstray/pool/pool_load.py
+++ b/src/brasstray/pool/pool_load.py
@@ -3,7 +3,12 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
-from datetime import timedelta
+from typing import TYPE_CHECKING
+
+from brasstray.clock.bounded import bounded_ms
+
+if TYPE_CHECKING:
+    from datetime import timedelta
 
 
 @dataclass(frozen=True)
@@ -24,9 +29,9 @@
     def wait(self, priority: int) -> timedelta:
         """Return how long a new task of `priority` would wait; 0 goes first."""
         if not self.waits_ms:
-            return timedelta(milliseconds=self.wait_ms)
+            return bounded_ms(self.wait_ms)
         number = min(max(0, priority), len(self.waits_ms) - 1)
-        return timedelta(milliseconds=self.waits_ms[number])
+        return bounded_ms(self.waits_ms[number])
 
 
 __all__ = ["PoolLoad"]
--- a/src/brasstray/pool/shortage.py
+++ b/src/brasstray/pool/shortage.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from brasstray.pool.placement import Rank, urgency
+from brasstray.pool.step_error import attributed_to
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -64,10 +65,7 @@
 
     def order(self, waiting: list[StepTasks], now: timedelta) -> list[StepTasks]:
         """Return `waiting` in the order in which the steps are to start."""
-        keyed = [
-            (urgency(step, self._durations.expected(step, None, ()), now), step)
-            for step in waiting
-        ]
+        keyed = [(self._urgency(step, now), step) for step in waiting]
         keyed.sort(key=lambda item: item[0])
         if not self.active(now):
             self._floored = []
@@ -77,6 +75,10 @@
         new = [s for key, s in keyed if not s.partial and key[0] is not Rank.STALE]
         return first + self._by_priority(new, now) + last
 
+    def _urgency(self, step: StepTasks, now: timedelta) -> tuple[Rank, bool, float]:
+        with attributed_to(step):
+            return urgency(step, self._durations.expected(step, None, ()), now)
+
     def _by_priority(self, steps: list[StepTasks], now: timedelta) -> list[StepTasks]:
         promised, self._floored = self._floored, []
         groups: dict[int, list[StepTasks]] = {}
@@ -145,8 +147,9 @@
         late on a free slot as well do not count.
         """
         for step in ordered:
-            planned, forecast = self.plan_step(step, forecast)
-            soonest = now + planned.expected
+            with attributed_to(step):
+                planned, forecast = self.plan_step(step, forecast)
+                soonest = now + planned.expected
             if soonest <= step.due < soonest + planned.wait:
                 self._shortage_until = now + SHORTAGE_HOLD
                 return True
--- a/src/brasstray/pool/task_registry.py
+++ b/src/brasstray/pool/task_registry.py
@@ -6,7 +6,9 @@
 from datetime import timedelta
 from typing import TYPE_CHECKING
 
+from brasstray.batch.limits import MAX_ESTIMATE
 from brasstray.batch.resources import Resources
+from brasstray.clock.bounded import bounded_ms
 from brasstray.peer.message.tasks_ended import TasksEnded
 from brasstray.peer.message.tasks_returned import TasksReturned
 from brasstray.pool.pool_task import PoolTask, TaskPhase
@@ -21,7 +23,6 @@
     from brasstray.pool.owner_events import OwnerEvents
     from brasstray.pool.requester import Requester
 
-_MILLISECOND = timedelta(milliseconds=1)
 # How long ends are kept for a requester that asks again over a new link.
 END_RETENTION = timedelta(seconds=3)
 
@@ -150,11 +151,11 @@
         service=message.service,
         spec=message.spec,
         needs=Resources(message.cpu_millis, message.memory_mb, message.gpus),
-        estimate=max(1, message.estimate_ms) * _MILLISECOND,
+        estimate=min(bounded_ms(max(1, message.estimate_ms)), MAX_ESTIMATE),
         arrived=now,
-        due=now + message.due_ms * _MILLISECOND,
-        useful_until=now + message.useful_ms * _MILLISECOND,
-        limit=now + message.limit_ms * _MILLISECOND,
+        due=now + bounded_ms(message.due_ms),
+        useful_until=now + bounded_ms(message.useful_ms),
+        limit=now + bounded_ms(message.limit_ms),
         priority=message.priority,
         attempts=message.attempts,
         rack=message.rack,
--- a/tests/coordinator/test_coordinator.py
+++ b/tests/coordinator/test_coordinator.py
@@ -288,3 +288,48 @@
 
     _, _, pools = with_coordinator(steps, make_batch(JOB, 2))
     assert [pool for pool, _ in pools.runs()] == [HOME, AWAY]
+
+
+# Guards against a wait of another host that no duration can hold.
+@pytest.mark.parametrize("wait_ms", [10**14, 2**63 - 1, 10**400, -(10**400)])
+def test_an_extreme_wait_is_told_to_the_caller_as_a_short_one(wait_ms):
+    result, _, _ = with_coordinator(
+        lambda coordinator, _: coordinator.handle_tasks_returned(
+            HOME, returned(0, 1, wait_ms=wait_ms)
+        )
+    )
+    assert result.outcome is BatchOutcome.NOT_RUN
+    assert timedelta(seconds=1) <= result.retry_after <= timedelta(minutes=2)
+
+
+# Guards against an error in one job that ends the host, or that has its caller send
+# the job to the next host.
+@pytest.mark.parametrize(
+    "event",
+    [
+        lambda coordinator: coordinator.handle_tasks_ended(HOME, ended(0, step=7)),
+        lambda coordinator: coordinator.handle_tasks_returned(
+            HOME, returned(0, pool=AWAY)
+        ),
+        lambda coordinator: coordinator.claim(HOME),
+    ],
+    ids=["end", "return", "claim"],
+)
+def test_a_job_whose_handling_raises_an_error_fails_alone(event):
+    def steps(coordinator, pools):
+        sent = pools.send
+
+        def send(pool, message):
+            if isinstance(message, RunTasks):
+                raise ZeroDivisionError(message.batch)
+            sent(pool, message)
+
+        pools.send = send
+        active = coordinator._active[JOB]
+        active.placed[7, 0] = HOME
+        event(coordinator)
+
+    result, _, pools = with_coordinator(steps)
+    assert result.outcome is BatchOutcome.FAILED
+    assert result.reason is GiveUpReason.ERROR
+    assert HOME in pools.stops()
--- a/tests/pool/test_review_cost.py
+++ b/tests/pool/test_review_cost.py
@@ -147,6 +147,7 @@
         Events(),
         lambda: True,
         lambda: False,
+        lambda _: None,
     )
 
 
