--- a/tests/pool/test_early_expiry.py
+++ b/tests/pool/test_early_expiry.py
@@ -3,18 +3,12 @@
 from __future__ import annotations
 
 import os
-from dataclasses import replace
 from datetime import timedelta
 
 import pytest
-from tests.pool.restart_orders import BORN
 from tests.pool.takeover import TASK, Requester, request, run_takeover
-from tests.pool.test_takeover import (
-    LOSS_PATTERNS,
-    ms,
-    start_on_last_minion,
-    take_over_with_lost_probes,
-)
+from tests.pool.test_restarts import report_born
+from tests.pool.test_takeover import ms, second_runs_by_loss, start_on_last_minion
 from tests.pool.unanswered_orders import run_order
 
 from brasstray.pool.timing import PoolTiming
@@ -32,31 +26,16 @@
 )
 
 
-def report_born(pool):
-    for stand_in in pool.stand_ins.values():
-        stand_in.entry = replace(stand_in.entry, born=BORN)
-
-
 # Guards against a second run after a takeover: a minion that reports its start answered
 # one probe of the new owner, and the next ones got no reply.
 @pytest.mark.parametrize("minions", [1, 2, 3])
 @pytest.mark.parametrize("alive", [False, True], ids=["first dead", "first alive"])
 @pytest.mark.parametrize("late_calls", [0, 1], ids=["calls in time", "calls late"])
 def test_reported_run_is_kept_until_its_lease_expires(minions, alive, late_calls):
-    broken = {}
-    for lost in LOSS_PATTERNS:
-
-        async def scenario(pool, lost=lost):
-            report_born(pool)
-            await take_over_with_lost_probes(
-                pool, lost, alive=alive, late_calls=late_calls
-            )
-
-        pool, _ = run_takeover(scenario, minions)
-        if pool.recorder.broken:
-            broken[tuple(sorted(lost))] = pool.recorder.broken
+    broken = second_runs_by_loss(
+        minions, alive=alive, late_calls=late_calls, prepare=report_born
+    )
     assert broken == {}
-    assert len(LOSS_PATTERNS) == 63
 
 
 # Guards against second runs and tasks without an answer when minions leave any of the
--- a/tests/pool/test_failing_jobs.py
+++ b/tests/pool/test_failing_jobs.py
@@ -29,22 +29,16 @@
 EXTREMES = [10**9, 10**14, 2**31 - 1, 2**53, 2**63 - 1, 2**64, 10**30, 10**400]
 
 
+def ended_tasks(requester):
+    return [m for m in requester.messages if isinstance(m, TasksEnded)]
+
+
 def failed_tasks(requester):
-    return sorted(
-        index
-        for message in requester.messages
-        if isinstance(message, TasksEnded)
-        for index in message.failed
-    )
+    return sorted(index for m in ended_tasks(requester) for index in m.failed)
 
 
 def done_tasks(requester):
-    return sorted(
-        index
-        for message in requester.messages
-        if isinstance(message, TasksEnded)
-        for index in message.done
-    )
+    return sorted(index for m in ended_tasks(requester) for index in m.done)
 
 
 async def run_beside(pool, bad, *, before=2, width=2):
--- a/tests/pool/test_takeover.py
+++ b/tests/pool/test_takeover.py
@@ -50,21 +50,13 @@
     await pool.clock.sleep(ms(2_000))
 
 
-# Guards against a second run of a task after a takeover with lost replies; two people
-# were answered for one draw. The new owner had seen the run in one probe and got no
-# reply to the next. It had requested no lease on the minion yet, and treated this as
-# all leases having expired, although the run was alive under the previous owner's
-# lease. The task ran again on another minion, 0.1 to 0.3 s after the takeover. The log
-# line `leases_expired` shows it: `asked: false`, `until_ms: 0`, 0.1 s after
-# `pool_taken`.
-@pytest.mark.parametrize("minions", [1, 2, 3])
-@pytest.mark.parametrize("alive", [False, True], ids=["first dead", "first alive"])
-@pytest.mark.parametrize("late_calls", [0, 1], ids=["calls in time", "calls late"])
-def test_run_leased_by_the_previous_owner_is_not_duplicated(minions, alive, late_calls):
+def second_runs_by_loss(minions, *, alive, late_calls, prepare=lambda _: None):
+    """Return the violations of a takeover for each pattern of lost probes."""
     broken = {}
     for lost in LOSS_PATTERNS:
 
         async def scenario(pool, lost=lost):
+            prepare(pool)
             await take_over_with_lost_probes(
                 pool, lost, alive=alive, late_calls=late_calls
             )
@@ -72,6 +64,21 @@
         pool, _ = run_takeover(scenario, minions)
         if pool.recorder.broken:
             broken[tuple(sorted(lost))] = pool.recorder.broken
+    return broken
+
+
+# Guards against a second run of a task after a takeover with lost replies; two people
+# were answered for one draw. The new owner had seen the run in one probe and got no
+# reply to the next. It had requested no lease on the minion yet, and treated this as
+# all leases having expired, although the run was alive under the previous owner's
+# lease. The task ran again on another minion, 0.1 to 0.3 s after the takeover. The log
+# line `leases_expired` shows it: `asked: false`, `until_ms: 0`, 0.1 s after
+# `pool_taken`.
+@pytest.mark.parametrize("minions", [1, 2, 3])
+@pytest.mark.parametrize("alive", [False, True], ids=["first dead", "first alive"])
+@pytest.mark.parametrize("late_calls", [0, 1], ids=["calls in time", "calls late"])
+def test_run_leased_by_the_previous_owner_is_not_duplicated(minions, alive, late_calls):
+    broken = second_runs_by_loss(minions, alive=alive, late_calls=late_calls)
     assert broken == {}
     assert len(LOSS_PATTERNS) == 63
 
