--- a/tests/pool/unanswered_orders.py
+++ b/tests/pool/unanswered_orders.py
@@ -2,12 +2,13 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from datetime import timedelta
 from random import Random
 
-from tests.pool.restart_orders import BORN, CountingRequester, ms
+from tests.pool.restart_orders import CountingRequester, ms
 from tests.pool.takeover import LossyMinions
+from tests.pool.test_restarts import report_born
 
 from brasstray.pool.errors import MinionNoResponseError
 
@@ -74,11 +75,10 @@
     async def run(self):
         pool, random = self.pool, self.random
         if self.born:
-            for stand_in in pool.stand_ins.values():
-                stand_in.entry = replace(stand_in.entry, born=BORN)
-        owner = await self._start_owner()
+            report_born(pool)
+        await self._start_owner()
         await pool.clock.sleep(ms(120))
-        self._ask(owner, claimed=False)
+        self._ask(claimed=False)
         await pool.clock.sleep(ms(random.randint(60, 400)))
         for _ in range(random.randint(1, 3)):
             await self._take_over()
@@ -99,11 +99,10 @@
         self.owners += 1
         self.calls = MutedMinions(self.pool.stand_ins, self.pool.clock, self.pool.group)
         self.calls.call_delay = ms(self.random.choice((100, 400, 900)))
-        owner, self.scope = self.pool.start_owner(self.owners, self.calls)
+        self.owner, self.scope = self.pool.start_owner(self.owners, self.calls)
         if self.owners > 1:
             self._draw_unanswered()
-        await self.pool.list_all_minions(owner)
-        return owner
+        await self.pool.list_all_minions(self.owner)
 
     def _draw_unanswered(self):
         random = self.random
@@ -120,7 +119,7 @@
         if random.random() < 0.7:
             self.scope.cancel()
             await clock.sleep(ms(random.choice((30, 150, 400))))
-        self.owner = await self._start_owner()
+        await self._start_owner()
         await clock.sleep(ms(random.choice((2, 60, 150))))
         if random.random() < 0.8:
             self._claim()
@@ -129,11 +128,11 @@
         """Have the requester link to the present owner, if it has not yet."""
         if self.asked is not self.owner:
             self.requester = self.requester.next_link()
-            self._ask(self.owner, claimed=True)
+            self._ask(claimed=True)
 
-    def _ask(self, owner, *, claimed):
-        self.asked = owner
-        self.requester.ask(owner, claimed=claimed)
+    def _ask(self, *, claimed):
+        self.asked = self.owner
+        self.requester.ask(self.owner, claimed=claimed)
 
 
 async def run_order(pool, seed, *, born):
