--- a/review/4/case.py
+++ b/review/4/case.py
@@ -50,7 +50,7 @@
     for zone in world.zones:
         await world.add_minion(f"m-{zone}", zone)
     for number, zone in enumerate(world.zones, start=1):
-        await world.add_host(f"edge-{zone}-1", zone, f"127.0.9.{number}")
+        await world.add_host(f"edge-{zone}-1", zone, f"127.0.4.{number}")
     await world.all_ready()
     for zone in world.zones:
         await world.until(lambda z=zone: world.owner_of(z), 10, "pools have owners")
--- a/review/5/case.py
+++ b/review/5/case.py
@@ -56,7 +56,7 @@
         await world.add_minion(f"m-{number}", "utrecht-a")
     for number in range(1, 4):
         await world.add_host(
-            f"edge-utrecht-a-{number}", "utrecht-a", f"127.0.4.{number}"
+            f"edge-utrecht-a-{number}", "utrecht-a", f"127.0.5.{number}"
         )
     await world.all_ready()
     await world.until(lambda: world.owner_of("utrecht-a"), 10, "the pool has an owner")
