Notice a suspension before acting on what was known before

What callers saw: a task of a job ran twice at once.

Cause: a resumed process runs overdue timers in the order of their times and reads its sockets in between. The detector of suspensions was one of these timers. Whatever ran before it acted on what was known before, and what it cancelled could still act once, as asyncio does not cancel a task whose wait is over. No owner looked at the time at which a caller gives up.

Why it works: each irrevocable act reads the clock first and compares it with the last check. The first one after a suspension deposes the owner and ends the jobs before it acts, in whatever order events come. Limits of jobs and the lease of a start, which counts from the decision, hold without any order.

--- a/src/brasstray/coordinator/coordinator.py
+++ b/src/brasstray/coordinator/coordinator.py
@@ -21,7 +21,7 @@
 from brasstray.pool.decayed_work import DecayedWork
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Callable, Iterable, Iterator
     from random import Random
 
     from brasstray.batch.batch import Batch
@@ -54,7 +54,9 @@
         timing: CoordinatorTiming,
         events: CoordinatorEvents,
         random: Random,
+        check_suspension: Callable[[], None] = lambda: None,
     ) -> None:
+        self._check_suspension = check_suspension
         self._home = home
         self._pools = pools
         self._clock = clock
@@ -212,8 +214,11 @@
         forwarded: bool = False,
         claimed: bool = False,
     ) -> None:
-        step, queue = active.batch.steps[step_number], active.queue
+        self._check_suspension()
         now = self._clock.monotonic()
+        if active.result is not None or active.limit <= now:
+            return
+        step, queue = active.batch.steps[step_number], active.queue
         sent_indices = tuple(indices)
         for index in sent_indices:
             active.placed[step_number, index] = pool
--- a/src/brasstray/host/ownership.py
+++ b/src/brasstray/host/ownership.py
@@ -67,6 +67,7 @@
         on_replaced_alive: Callable[[], None],
         succession: Succession,
         evacuations: Evacuations,
+        check_suspension: Callable[[], None],
     ) -> None:
         self._pool = pool
         self._identity = identity
@@ -81,6 +82,7 @@
         self._on_replaced_alive = on_replaced_alive
         self._succession = succession
         self._evacuations = evacuations
+        self._check_suspension = check_suspension
         self._token_held = 0
         self._token_released = 0
         self._confirmed_at = timedelta(0)
@@ -110,6 +112,10 @@
         self._token_released = max(self._token_released, self._token_held)
         self._token_held = 0
 
+    def reset_vacancy(self) -> None:
+        """Give the listed owner its time anew: whether it is silent is not known."""
+        self._vacant_since = None
+
     async def confirm(self, owned: OwnedPool) -> bool:
         """Return whether the store confirms `owned`, False if it is unavailable."""
         try:
@@ -235,6 +241,7 @@
         return self._known and self._evacuations.current.was_read and not self._draining
 
     def _is_claim_due(self) -> bool:
+        self._check_suspension()
         if self._token_held or not self._is_vacant():
             self._vacant_since = None
             return False
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -120,6 +120,7 @@
             timing.coordinator,
             events,
             dependencies.random,
+            self._check_suspension,
         )
         self._succession = Succession(identity.host)
         self._contact = CoordinatorContact(dependencies.uptime)
@@ -137,6 +138,7 @@
             self._contact.reset,
             self._succession,
             self._evacuations,
+            self._check_suspension,
         )
         self._owner: PoolOwner | None = None
         self._owner_scope: anyio.CancelScope | None = None
@@ -304,8 +306,15 @@
 
         Requests still arrive on open connections while this host drains. One that is
         unfinished when the process ends would get no answer, so a job that cannot
-        complete before that is refused immediately, as not run.
+        complete before that is refused immediately, as not run. So is one that may have
+        waited unread during a suspension, until its caller gave up.
         """
+        self._check_suspension()
+        age = self._suspension_detector.possible_request_age
+        if age and critical_path(batch) >= timeout - age:
+            detail = f"received up to {age // _MILLISECOND} ms ago"
+            self._events.request_refused(batch.id, GiveUpReason.TOO_LATE, detail)
+            return BatchResult(BatchOutcome.NOT_RUN, GiveUpReason.TOO_LATE)
         if self._drain_deadline is not None:
             left = self._drain_deadline - self._clock.monotonic()
             if critical_path(batch) >= left:
@@ -313,7 +322,7 @@
                     batch.id, GiveUpReason.STOPPING, f"{left // _MILLISECOND} ms left"
                 )
                 return BatchResult(BatchOutcome.NOT_RUN, GiveUpReason.STOPPING)
-        return await self._coordinator.run(batch, queue, timeout)
+        return await self._coordinator.run(batch, queue, timeout - age)
 
     # Ownership of the pool
 
@@ -335,6 +344,7 @@
             self._minion_feed.last_known_minions,
             lambda: self._evacuations.is_evacuated(self._pool),
             contact_age,
+            self._check_suspension,
             prioritize=self._prioritize,
         )
         self._learned.start_tenure(owner, self._minion_feed.last_known_minions)
@@ -366,6 +376,7 @@
         owner, self._owner = self._owner, None
         if owner is None or self._owner_scope is None:
             return
+        owner.depose()
         self._directory.clear_local_pool()
         self._owner_scope.cancel()
         self._events.pool_left(self._pool, owner.token, reason)
@@ -494,6 +505,9 @@
             and state.token >= owned.token
         )
 
+    def _check_suspension(self) -> None:
+        self._suspension_detector.check()
+
     def _is_active(self) -> bool:
         return self._owner is not None or self._coordinator.active_count > 0
 
@@ -507,6 +521,9 @@
         if self._owner is not None:
             self._ownership.release()
             self._stop_owner("process was suspended")
+        self._ownership.reset_vacancy()
+        # What was sent here before may still wait to be read.
+        self._requesters.close()
         self._contact.reset()
         self._coordinator.end_all_jobs()
 
--- a/src/brasstray/host/pool_link.py
+++ b/src/brasstray/host/pool_link.py
@@ -153,7 +153,9 @@
         self._wake.set()
 
     def stop(self) -> None:
-        """Stop `run` and close the link."""
+        """Stop `run` and close the link; ignore messages that were not read yet."""
+        if self._channel is not None:
+            self._channel.close()
         self._scope.cancel()
 
     async def run(self) -> None:
--- a/src/brasstray/host/requester_link.py
+++ b/src/brasstray/host/requester_link.py
@@ -124,6 +124,10 @@
         )
         self._channel.send(state)
 
+    def close(self) -> None:
+        """Close the connection; messages that were not read yet are ignored."""
+        self._channel.close()
+
     def _handle_message(self, message: PoolMessage) -> None:
         self._last_contact = self._clock.monotonic()
         self._on_message(self, message)
--- a/src/brasstray/host/requester_links.py
+++ b/src/brasstray/host/requester_links.py
@@ -39,6 +39,11 @@
         """Remove `link`, if present."""
         self._links.discard(link)
 
+    def close(self) -> None:
+        """Close all links; messages that were not read yet are ignored."""
+        for link in self._links:
+            link.close()
+
     def send_state(self, include: Callable[[str], bool] = lambda _: True) -> None:
         """Send the state of this host to each host whose name `include` accepts."""
         for link in self._links:
--- a/src/brasstray/peer/message_channel.py
+++ b/src/brasstray/peer/message_channel.py
@@ -39,6 +39,7 @@
         self._queue: list[PoolMessage] = []
         self._flush_requested = anyio.Event()
         self._open = True
+        self._scope = anyio.CancelScope()
 
     @property
     def open(self) -> bool:
@@ -62,14 +63,20 @@
             self._open = False
         self._queue.append(message)
 
+    def close(self) -> None:
+        """Close the connection; messages that were not read yet are ignored."""
+        self._open = False
+        self._scope.cancel()
+
     async def run(self) -> str:
         """Send and receive until the connection ends; return the reason."""
         reason = "closed"
         try:
-            async with anyio.create_task_group() as group:
-                group.start_soon(self._send_queued)
-                reason = await self._read()
-                group.cancel_scope.cancel()
+            with self._scope:
+                async with anyio.create_task_group() as group:
+                    group.start_soon(self._send_queued)
+                    reason = await self._read()
+                    group.cancel_scope.cancel()
         finally:
             self._open = False
             with anyio.CancelScope(shield=True):
@@ -86,7 +93,8 @@
             except StreamClosedError as error:
                 return f"closed: {error}"
             for message in messages:
-                self._on_message(message)
+                if self._open:
+                    self._on_message(message)
         return "too slow"
 
     async def _send_queued(self) -> None:
--- a/src/brasstray/pool/dispatcher.py
+++ b/src/brasstray/pool/dispatcher.py
@@ -130,10 +130,12 @@
                 self.wake()
 
     def _dispatch(self) -> None:
-        waiting = [step for step in self._tasks.steps if step.waiting]
+        now = self._clock.monotonic()
+        # The caller of an expired step may submit its job to another data centre. Its
+        # coordinator drops the step here.
+        waiting = [s for s in self._tasks.steps if s.waiting and s.limit > now]
         if not waiting:
             return
-        now = self._clock.monotonic()
         if self._evacuated():
             self._sharing.evacuate(waiting, now)
             return
--- a/src/brasstray/pool/errors.py
+++ b/src/brasstray/pool/errors.py
@@ -39,6 +39,10 @@
     """The minion has seen a higher fencing token, and did not carry out the call."""
 
 
+class OwnerDeposedError(FencedError):
+    """The owner no longer owns the pool, so the call was not sent."""
+
+
 class StartRefusedError(MinionCallError):
     """The minion did not start the task."""
 
@@ -53,6 +57,7 @@
     "MinionGoneError",
     "MinionNoResponseError",
     "MinionRestartedError",
+    "OwnerDeposedError",
     "StartRefusal",
     "StartRefusedError",
 ]
--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -13,6 +13,7 @@
     MinionGoneError,
     MinionNoResponseError,
     MinionRestartedError,
+    OwnerDeposedError,
     StartRefusedError,
 )
 from brasstray.pool.incarnation import Incarnation, classify_reply
@@ -311,6 +312,7 @@
         None means that a later probe was answered before this one, or that not all ends
         were listed.
         """
+        self._require_ownership()
         sent = self._clock.monotonic()
         until = None
         if lease:
@@ -360,6 +362,10 @@
             return None
         return {(run.task, run.run) for run in reply.active}
 
+    def _require_ownership(self) -> None:
+        if not self._owner.may_act():
+            raise OwnerDeposedError(str(self._token))
+
     def _check_incarnation(self, reply: ProbeReply) -> None:
         """Raise an error unless `reply` is by the incarnation of this session.
 
@@ -444,8 +450,10 @@
         if self._replaced:
             # The run was moved to the next session, which stops it.
             return
+        if not self._owner.may_act():
+            return
         sent = self._clock.monotonic()
-        until = self._lease.next_lease_until(sent, self._renewal_limit.until)
+        until = self._lease.next_lease_until(sent, self._lease_limit(record))
         key = (record.name, record.run)
         self._forget_old_starts(sent)
         self._unanswered_starts[key] = sent
@@ -491,6 +499,16 @@
             if record.task is None and record.state is RunState.ACTIVE:
                 self.stop(record)
 
+    def _lease_limit(self, record: RunRecord) -> timedelta:
+        """Return when the lease that the start of `record` requests must have expired.
+
+        It counts from the decision to start: if the process was suspended since, the
+        minion rejects the start.
+        """
+        decided = record.began + self._timing.lease
+        limit = self._renewal_limit.until
+        return decided if limit is None else min(decided, limit)
+
     async def _resolve_start(self, record: RunRecord) -> None:
         """Find out whether an unanswered start took effect, or have it rejected.
 
@@ -552,6 +570,7 @@
             self._owner.record_stop_without_end(self._minion, record)
 
     async def _call_stop(self, name: TaskName, run: RunNumber) -> None:
+        self._require_ownership()
         timeout = self._timing.call_timeout + self._lag.allowance
         try:
             await self._calls.stop(self._minion.entry, self._token, name, run, timeout)
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -80,9 +80,11 @@
         inherited: Iterable[MinionEntry] | None,
         evacuated: Callable[[], bool] = lambda: False,
         contact_age: timedelta | None = None,
+        check_suspension: Callable[[], None] = lambda: None,
         *,
         prioritize: bool = False,
     ) -> None:
+        self._check_suspension = check_suspension
         self._pool = pool
         self._token = token
         self._calls = calls
@@ -213,9 +215,18 @@
                 group.cancel_scope.cancel()
 
     def depose(self) -> None:
-        """Stop owning the pool, as a minion has seen a higher token."""
+        """Stop owning the pool: call no minion any more, and accept no tasks."""
         self._deposed.set()
 
+    def may_act(self) -> bool:
+        """Return whether this owner may still start, accept and reject tasks.
+
+        A host that was suspended deposes its owner in the check. The cancellation of
+        the owner's tasks comes too late: it does not reach one whose wait is over.
+        """
+        self._check_suspension()
+        return not self._deposed.is_set()
+
     # Learned values
 
     @property
@@ -308,7 +319,7 @@
 
     def run_tasks(self, requester: Requester, message: RunTasks) -> None:
         """Accept tasks, or claims to tasks that a previous owner was given."""
-        if self._deposed.is_set():
+        if not self.may_act():
             return
         needs = Resources(message.cpu_millis, message.memory_mb, message.gpus)
         if not is_possible(needs):
@@ -435,7 +446,7 @@
         await self._dispatcher.wait_for_change()
 
     def _may_start(self) -> bool:
-        return self.recovered and not self.deposed
+        return self.recovered and self.may_act()
 
     # Reports from minions
 
