Count suspensions from the start of the detector

Between the construction of a host and its first task, half a second of start-up would have been reported as a suspension. Nothing was known then, so nothing was discarded wrongly. Found by reading; tests of suspensions pass.

--- a/src/brasstray/host/suspension_detector.py
+++ b/src/brasstray/host/suspension_detector.py
@@ -68,7 +68,8 @@
 
     async def run(self) -> None:
         """Check periodically, and report late timers, until cancelled."""
-        self.check()
+        # Nothing was known before.
+        self._checked_at = self._uptime()
         last = self._uptime()
         while True:
             timing = self._timing
