Bound frames between hosts, and let a failed connection end alone

Cause: all queued requests, each with the whole payload, went out as one frame of 17 MB. The owner accepts 8 MiB and closed the connection. Its transport had been closed while it held data; abort() on such a transport raises an AttributeError once the data is flushed, and nothing between the link and the process handled it.

Why it works: frames are bounded by bytes and messages on the sender, whatever the kind of message, so no job decides their size. What fits no frame is dropped, logged, counted and answered alone. What a stream raises ends its link; what a handler raises is passed on, as that may be this host's own state.

--- a/src/brasstray/host/event_log.py
+++ b/src/brasstray/host/event_log.py
@@ -447,6 +447,11 @@
         """Record that a host that requested tasks is unreachable."""
         log_message("brasstray:requester_lost", host=host, reason=reason)
 
+    def message_oversized(self, host: str, kind: str) -> None:
+        """Record that a message for a host is too large to be sent, and dropped."""
+        self._metrics.count_reason("message_oversized")
+        log_message("brasstray:message_oversized", host=host, kind=kind)
+
     def loop_late(self, milliseconds: int) -> None:
         """Record that the event loop of this process lagged by too much."""
         self._metrics.count_reason("loop_late")
--- a/src/brasstray/host/host_events.py
+++ b/src/brasstray/host/host_events.py
@@ -95,6 +95,9 @@
     def requester_lost(self, host: str, reason: str) -> None:
         """Record that a host that requested tasks is unreachable."""
 
+    def message_oversized(self, host: str, kind: str) -> None:
+        """Record that a message for a host is too large to be sent, and dropped."""
+
     def loop_late(self, milliseconds: int) -> None:
         """Record that the event loop of this process lagged by too much."""
 
--- a/src/brasstray/host/pool_host.py
+++ b/src/brasstray/host/pool_host.py
@@ -422,7 +422,12 @@
     async def serve(self, stream: MessageStream) -> None:
         """Serve a connection that another host has opened, until it closes."""
         link = RequesterLink(
-            stream, self._clock, self._timing, self._state, self._handle_request
+            stream,
+            self._clock,
+            self._timing,
+            self._state,
+            self._handle_request,
+            self._events,
         )
         self._requesters.add(link)
         try:
--- a/src/brasstray/host/pool_link.py
+++ b/src/brasstray/host/pool_link.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from datetime import timedelta
+from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
@@ -15,6 +16,7 @@
 from brasstray.peer.message.run_tasks import RunTasks
 from brasstray.peer.message.stop_tasks import StopTasks
 from brasstray.peer.message.successors import Successors
+from brasstray.peer.message.tasks_ended import TasksEnded
 from brasstray.peer.message.tasks_returned import TasksReturned
 from brasstray.peer.message_channel import MessageChannel
 from brasstray.peer.message_stream import HostNotListeningError, StreamClosedError
@@ -22,7 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-    from brasstray.batch.ids import PoolId
+    from brasstray.batch.ids import BatchId, PoolId
     from brasstray.clock.clock import Clock
     from brasstray.host.host_events import HostEvents
     from brasstray.host.identity import HostIdentity
@@ -135,6 +137,9 @@
             case StopTasks() if self._channel is None:
                 # A request sent after its job has ended would start orphaned runs.
                 self._queued = [r for r in self._queued if r.batch != message.batch]
+            case StopTasks() if self._channel is not None:
+                self._channel.withdraw(partial(_is_request_for, message.batch))
+                self._channel.send(message)
             case _ if self._channel is not None:
                 self._channel.send(message)
 
@@ -183,7 +188,10 @@
             return
         self._is_successor = True
         channel = self._channel = MessageChannel(
-            stream, self._timing.owner_silence_timeout, self._handle_message
+            stream,
+            self._timing.owner_silence_timeout,
+            self._handle_message,
+            self._handle_oversized,
         )
         reason = "stopped"
         channel.send(
@@ -289,6 +297,18 @@
             )
         self._on_message(self._pool, message)
 
+    def _handle_oversized(self, message: PoolMessage) -> None:
+        """Fail the tasks of a request that is too large to be sent."""
+        self._events.message_oversized(self._owned.owner.host, type(message).__name__)
+        if isinstance(message, RunTasks):
+            failed = TasksEnded(
+                batch=message.batch,
+                step=message.step,
+                done=(),
+                failed=message.indices,
+            )
+            self._on_message(self._pool, failed)
+
     def _update_state(self, pool_state: PoolState) -> None:
         if pool_state.pool == self._pool and pool_state.token >= self._owned.token:
             was_up = self._pool_state is not None
@@ -323,6 +343,10 @@
             self._events.owner_lost(self._pool, self._owned.owner.host, reason)
 
 
+def _is_request_for(batch: BatchId, message: PoolMessage) -> bool:
+    return isinstance(message, RunTasks) and message.batch == batch
+
+
 def _tasks_of(request: RunTasks) -> Iterator[TaskName]:
     for index in request.indices:
         yield TaskName(request.batch, request.step, index)
--- a/src/brasstray/host/requester_link.py
+++ b/src/brasstray/host/requester_link.py
@@ -15,6 +15,7 @@
     from collections.abc import Callable
 
     from brasstray.clock.clock import Clock
+    from brasstray.host.host_events import HostEvents
     from brasstray.host.timing import HostTiming
     from brasstray.job.ids import DataCentreName
     from brasstray.peer.message.hello import Hello
@@ -36,13 +37,18 @@
         timing: HostTiming,
         state: Callable[[], PoolState],
         on_message: Callable[[RequesterLink, PoolMessage], None],
+        events: HostEvents,
     ) -> None:
         self._clock = clock
         self._timing = timing
         self._state = state
         self._on_message = on_message
+        self._events = events
         self._channel = MessageChannel(
-            stream, timing.pool.requester_silence, self._handle_message
+            stream,
+            timing.pool.requester_silence,
+            self._handle_message,
+            self._handle_oversized,
         )
         self._name = "unknown"
         self._data_centre: DataCentreName | None = None
@@ -132,6 +138,9 @@
         self._last_contact = self._clock.monotonic()
         self._on_message(self, message)
 
+    def _handle_oversized(self, message: PoolMessage) -> None:
+        self._events.message_oversized(self._name, type(message).__name__)
+
     async def run(self) -> str:
         """Serve until the connection ends; return the reason."""
         async with anyio.create_task_group() as group:
--- a/src/brasstray/peer/message_channel.py
+++ b/src/brasstray/peer/message_channel.py
@@ -1,12 +1,14 @@
-"""Send queued messages over a connection and detect a silent peer."""
+"""Send queued messages over a connection, and detect its end."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING
 
 import anyio
+import anyio.lowlevel
 
 from brasstray.peer.message_stream import StreamClosedError
+from brasstray.peer.pool_messages import FULL_FRAME_MESSAGES
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -21,10 +23,12 @@
 
 
 class MessageChannel:
-    """Run one connection, sending all queued messages in one frame.
+    """Run one connection, sending queued messages together.
 
     The connection is closed if nothing is received for `silence_timeout`, or once too
-    many messages are queued. `on_message` is called with each message received.
+    many messages are queued. `on_message` is called with each message received, and
+    `on_oversized` with each one that is too large to be sent. Whatever error the stream
+    raises ends this connection only; errors of the callbacks are passed on.
     """
 
     def __init__(
@@ -32,14 +36,17 @@
         stream: MessageStream,
         silence_timeout: timedelta,
         on_message: Callable[[PoolMessage], None],
+        on_oversized: Callable[[PoolMessage], None],
     ) -> None:
         self._stream = stream
         self._silence_timeout = silence_timeout
         self._on_message = on_message
+        self._on_oversized = on_oversized
         self._queue: list[PoolMessage] = []
         self._flush_requested = anyio.Event()
         self._open = True
         self._scope = anyio.CancelScope()
+        self._end_reason = "closed"
 
     @property
     def open(self) -> bool:
@@ -63,6 +70,10 @@
             self._open = False
         self._queue.append(message)
 
+    def withdraw(self, is_unneeded: Callable[[PoolMessage], bool]) -> None:
+        """Remove the queued messages that need not be sent any more."""
+        self._queue = [each for each in self._queue if not is_unneeded(each)]
+
     def close(self) -> None:
         """Close the connection; messages that were not read yet are ignored."""
         self._open = False
@@ -70,18 +81,23 @@
 
     async def run(self) -> str:
         """Send and receive until the connection ends; return the reason."""
-        reason = "closed"
         try:
             with self._scope:
                 async with anyio.create_task_group() as group:
                     group.start_soon(self._send_queued)
-                    reason = await self._read()
+                    self._end_reason = await self._read()
                     group.cancel_scope.cancel()
         finally:
             self._open = False
             with anyio.CancelScope(shield=True):
-                await self._stream.aclose()
-        return reason
+                await self._close_stream()
+        return self._end_reason
+
+    async def _close_stream(self) -> None:
+        try:
+            await self._stream.aclose()
+        except Exception as error:  # noqa: BLE001 - any error of one connection
+            self._end_reason += f"; close failed: {error!r}"
 
     async def _read(self) -> str:
         while self._open:
@@ -92,21 +108,34 @@
                 return "silent"
             except StreamClosedError as error:
                 return f"closed: {error}"
+            except Exception as error:  # noqa: BLE001 - any error of one connection
+                return f"receive failed: {error!r}"
             for message in messages:
                 if self._open:
                     self._on_message(message)
         return "too slow"
 
     async def _send_queued(self) -> None:
-        try:
-            while True:
-                await self._flush_requested.wait()
-                self._flush_requested = anyio.Event()
-                messages, self._queue = self._queue, []
-                await self._stream.send(messages)
-        except StreamClosedError:
-            # _read gets the same error and returns the reason.
-            return
+        while True:
+            await self._flush_requested.wait()
+            self._flush_requested = anyio.Event()
+            while self._queue:
+                # Many messages go out in parts, so that those received and the timers
+                # of this host need not wait for all of them.
+                part = self._queue[:FULL_FRAME_MESSAGES]
+                del self._queue[:FULL_FRAME_MESSAGES]
+                try:
+                    oversized = await self._stream.send(part)
+                except StreamClosedError:
+                    # _read gets the same error and returns the reason.
+                    return
+                except Exception as error:  # noqa: BLE001 - of one connection
+                    self._end_reason = f"send failed: {error!r}"
+                    self._scope.cancel()
+                    return
+                for message in oversized:
+                    self._on_oversized(message)
+                await anyio.lowlevel.checkpoint()
 
 
 __all__ = ["MessageChannel"]
--- a/src/brasstray/peer/message_stream.py
+++ b/src/brasstray/peer/message_stream.py
@@ -19,8 +19,11 @@
 class MessageStream(Protocol):
     """Send and receive messages in order; every method may raise StreamClosedError."""
 
-    async def send(self, messages: list[PoolMessage]) -> None:
-        """Send `messages`; wait while the receiver applies back-pressure."""
+    async def send(self, messages: list[PoolMessage]) -> list[PoolMessage]:
+        """Send `messages`; return those that are too large to be sent.
+
+        Wait while the receiver applies back-pressure.
+        """
 
     async def receive(self) -> list[PoolMessage]:
         """Wait for the next messages and return them."""
--- a/src/brasstray/peer/websocket_stream.py
+++ b/src/brasstray/peer/websocket_stream.py
@@ -11,7 +11,11 @@
 
 from brasstray.peer.errors import UnreadableMessageError
 from brasstray.peer.message_stream import HostNotListeningError, StreamClosedError
-from brasstray.peer.pool_messages import decode_frame, encode_frame
+from brasstray.peer.pool_messages import (
+    MAX_FRAME_BYTES,
+    decode_frame,
+    encode_frames,
+)
 
 if TYPE_CHECKING:
     import socket
@@ -24,7 +28,6 @@
 # A connection within a region opens in a few milliseconds. An attempt across a network
 # partition would hang; after this timeout, another host is tried.
 OPEN_TIMEOUT_SECONDS = 0.4
-MAX_FRAME_BYTES = 8 * 1024 * 1024
 
 
 class WebSocketStream:
@@ -33,12 +36,15 @@
     def __init__(self, connection: Connection) -> None:
         self._connection = connection
 
-    async def send(self, messages: list[PoolMessage]) -> None:
-        """Send `messages` in one frame."""
+    async def send(self, messages: list[PoolMessage]) -> list[PoolMessage]:
+        """Send `messages`; return those that are too large to be sent."""
+        frames, oversized = encode_frames(messages)
         try:
-            await self._connection.send(encode_frame(messages))
+            for frame in frames:
+                await self._connection.send(frame)
         except ConnectionClosed as error:
             raise StreamClosedError(str(error)) from error
+        return oversized
 
     async def receive(self) -> list[PoolMessage]:
         """Wait for the next frame and return its messages."""
@@ -50,7 +56,9 @@
 
     async def aclose(self) -> None:
         """Abort the connection: a closing handshake with a silent peer takes time."""
-        self._connection.transport.abort()
+        # A transport that has flushed its buffer after its close can't be aborted.
+        if not self._connection.connection_lost_waiter.done():
+            self._connection.transport.abort()
 
 
 class WebSocketOpener:
--- a/src/brasstray_standins/memory_streams.py
+++ b/src/brasstray_standins/memory_streams.py
@@ -9,7 +9,7 @@
 import anyio
 
 from brasstray.peer.message_stream import HostNotListeningError, StreamClosedError
-from brasstray.peer.pool_messages import decode_frame, encode_frame
+from brasstray.peer.pool_messages import decode_frame, encode_frames
 from brasstray_standins.rate_limited_link import RateLimitedLink
 
 if TYPE_CHECKING:
@@ -102,20 +102,22 @@
         self._receiving = receiving
         network.streams.append(self)
 
-    async def send(self, messages: list[PoolMessage]) -> None:
+    async def send(self, messages: list[PoolMessage]) -> list[PoolMessage]:
         """Send `messages`; they are lost if a partition separates the hosts."""
         await self._gate.wait()
         self._network.sent += len(messages)
         if self.silent or not self._network.connected(
             self.local_host, self.remote_host
         ):
-            return
-        data = encode_frame(messages)
-        await self._network.link_from(self.local_host).transmit(len(data))
+            return []
+        frames, oversized = encode_frames(messages)
         try:
-            await self._sending.send(data)
+            for data in frames:
+                await self._network.link_from(self.local_host).transmit(len(data))
+                await self._sending.send(data)
         except (anyio.ClosedResourceError, anyio.BrokenResourceError) as error:
             raise StreamClosedError("closed") from error
+        return oversized
 
     async def receive(self) -> list[PoolMessage]:
         """Return the next messages."""
--- a/tests/host/suspension.py
+++ b/tests/host/suspension.py
@@ -103,7 +103,7 @@
             for message in messages:
                 if isinstance(message, RunTasks):
                     self._record_request(stream.local_host, message)
-            await send(stream, messages)
+            return await send(stream, messages)
 
         monkeypatch.setattr(MemoryStream, "send", send_recorded)
 
