Bound what one large job costs an owner and its other callers

Cause, by a sampling profile of an owner with 3,500 steps: a fifth of its time compared each accepted task with every run; dropped steps walked all runs each; hundreds of starts at once opened a connection each, were answered too late and settled by probes and stops on further connections (half of the time with 1,000 steps). Nothing refused a job that no owner can handle in time.

A job has 10,000 tasks at most. One with more tasks than the known owners can handle within its timeout, at 0.5 ms each, is refused at once as not run.

One step of 1,400 tasks is done in 1.2 s, 0.86 ms a task, so 0.5 ms refuses none that could be done.

--- a/src/brasstray/coordinator/coordinator.py
+++ b/src/brasstray/coordinator/coordinator.py
@@ -40,6 +40,8 @@
 USEFUL_OBJECTIVE_FACTOR = 3
 # A longer wait is no forecast: nothing is known of a pool without minions.
 MAX_RETRY_AFTER = timedelta(minutes=1)
+# An owner takes longer than this to start a task and to handle its end.
+MIN_TASK_TIME = timedelta(microseconds=500)
 _FAILED_BY_ERROR = BatchResult(BatchOutcome.FAILED, GiveUpReason.ERROR)
 
 
@@ -89,16 +91,31 @@
 
         If the call is cancelled and no other caller waits for the same job, the runs of
         the job are stopped. A job that no minion can ever run, or whose handling raises
-        an error, has failed, as it would fare no better wherever it was sent again.
+        an error, has failed, as it would fare no better wherever it was sent again. One
+        with more tasks than can be handled within `timeout` is refused at once.
         """
         if not can_run(batch):
             needs = "; ".join(str(step.needs) for step in batch.steps)
             self._events.request_refused(batch.id, GiveUpReason.IMPOSSIBLE, needs)
             return BatchResult(BatchOutcome.FAILED, GiveUpReason.IMPOSSIBLE)
+        least = self._least_time(batch)
+        if least > timeout and not self.is_active(batch.id):
+            detail = f"takes {least // _MILLISECOND} ms or more"
+            self._events.request_refused(batch.id, GiveUpReason.OVERLOADED, detail)
+            return BatchResult(
+                BatchOutcome.NOT_RUN, GiveUpReason.OVERLOADED, MAX_RETRY_AFTER
+            )
         with self._contain_errors(batch.id):
             return await self._run(batch, queue, timeout)
         return _FAILED_BY_ERROR
 
+    def _least_time(self, batch: Batch) -> timedelta:
+        """Return what the known owners together take at least to handle all tasks."""
+        pools = {*self._pools.reachable(), *self._pools.connectable()}
+        return (
+            sum(step.count for step in batch.steps) * MIN_TASK_TIME / max(1, len(pools))
+        )
+
     @contextmanager
     def _contain_errors(self, batch: BatchId) -> Iterator[None]:
         """Fail the job alone if an error is raised, so that all others go on."""
--- a/src/brasstray/platform/job_bodies.py
+++ b/src/brasstray/platform/job_bodies.py
@@ -14,8 +14,8 @@
 from brasstray.batch.step import Step
 from brasstray.platform.body import Body, UnreadableBodyError
 
-# Upper bound for one step; the largest job at full scale has 1,700 tasks.
-MAX_TASKS_PER_STEP = 10_000
+# Upper bound for one job; the largest one at full scale has 1,700 tasks.
+MAX_TASKS_PER_JOB = 10_000
 _MAX_ESTIMATE_MS = MAX_ESTIMATE // timedelta(milliseconds=1)
 _NonNegativeInt = Annotated[int, msgspec.Meta(ge=0)]
 
@@ -34,7 +34,7 @@
     `cpu` is in thousandths of a core; `after` holds indices of earlier steps.
     """
 
-    count: Annotated[int, msgspec.Meta(ge=1, le=MAX_TASKS_PER_STEP)] = 1
+    count: Annotated[int, msgspec.Meta(ge=1, le=MAX_TASKS_PER_JOB)] = 1
     cpu: _NonNegativeInt = 0
     mem_mb: _NonNegativeInt = 0
     gpu: _NonNegativeInt = 0
@@ -59,7 +59,7 @@
             tuple(self.after),
             self.data_rack,
             self.required_label,
-            min(self.max_per_server, MAX_TASKS_PER_STEP),
+            min(self.max_per_server, MAX_TASKS_PER_JOB),
         )
 
 
@@ -81,6 +81,9 @@
         raise UnreadableJobError(str(error)) from error
     if not body.best_effort or body.long_running or body.repeat_count:
         raise UnsupportedJobError("only jobs with BestEffort are served")
+    tasks = sum(step.count for step in body.steps)
+    if tasks > MAX_TASKS_PER_JOB:
+        raise UnreadableJobError(f"{tasks} tasks, over {MAX_TASKS_PER_JOB}")
     steps = tuple(step.to_step(number) for number, step in enumerate(body.steps))
     return Batch(BatchId(job_id), body.spec, steps)
 
--- a/src/brasstray/pool/dispatcher.py
+++ b/src/brasstray/pool/dispatcher.py
@@ -39,6 +39,12 @@
 MAX_PAUSE = timedelta(milliseconds=50)
 
 
+# How many starts may be without a response. Each more would open a connection, and an
+# owner that reads responses too late settles starts by further calls. The dispatch goes
+# on when half of them have one, as each goes through the whole queue.
+MAX_STARTS_IN_FLIGHT = 128
+
+
 class Dispatcher:
     """Start waiting tasks after all pending input has been processed.
 
@@ -78,6 +84,7 @@
         self._changed = anyio.Event()
         self._review_due = False
         self._next_review = timedelta(0)
+        self._starts_in_flight = 0
         self._outlook: tuple[list[Minion], Outlook] | None = None
         self._load = PoolLoad()
         self._load_valid_until = timedelta(0)
@@ -169,7 +176,7 @@
         outlook = self._outlook_for(minions, now)
         minions = self._start_limit.allowed(step, minions, now)
         awaiting = []
-        while step.waiting:
+        while step.waiting and self._starts_in_flight < MAX_STARTS_IN_FLIGHT:
             task, reserved = step.waiting[0], outlook.reservations
             minion = choose_minion(task, minions, self._durations, now, outlook)
             if minion is None and outlook.reservations == reserved:
@@ -208,7 +215,13 @@
         self._sharing.record_start(step, expected)
         minion.add(record)
         self._events.started(minion, record, now - step.arrived)
-        self._roster.session(entry.id).start(record, step.spec)
+        self._starts_in_flight += 1
+        self._roster.session(entry.id).start(record, step.spec, self._settle_start)
+
+    def _settle_start(self) -> None:
+        self._starts_in_flight -= 1
+        if self._starts_in_flight == MAX_STARTS_IN_FLIGHT // 2:
+            self.wake()
 
 
 __all__ = ["Dispatcher"]
--- a/src/brasstray/pool/load_sharing.py
+++ b/src/brasstray/pool/load_sharing.py
@@ -20,7 +20,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
 
-    from brasstray.batch.ids import PoolId
+    from brasstray.batch.ids import BatchId, PoolId
     from brasstray.clock.clock import Clock
     from brasstray.peer.message.run_tasks import RunTasks
     from brasstray.pool.capacity_forecast import CapacityForecast, Flow
@@ -69,6 +69,7 @@
         self._shares = CallerShares()
         self._plan = ShortagePlan(durations, self._shares)
         self._waits: tuple[timedelta, ...] = ()
+        self._rejected: set[BatchId] = set()
         self._cores = 0.0
         # Both are read once per review: a review may reject every waiting step.
         self._backlog = 0.0
@@ -142,9 +143,12 @@
         Runs that are expected to take long may end early, so only waiting work counts.
         """
         wait = timedelta(0)
+        self._rejected.clear()
         for step in waiting_steps:
-            with attributed_to(step):
-                wait = self._review_step(step, loads, now, wait)
+            # Once one step of a job is rejected, its coordinator drops the others.
+            if step.batch not in self._rejected:
+                with attributed_to(step):
+                    wait = self._review_step(step, loads, now, wait)
 
     def _review_step(
         self,
@@ -351,6 +355,7 @@
         indices = tuple(task.name.index for task in step.waiting)
         reason = self._rejection_reason(step, loads, evacuated=evacuated)
         self._events.rejected(step, len(indices), wait_ms, reason)
+        self._rejected.add(step.batch)
         self._backlog -= self._work(step, len(indices))
         step.waiting.clear()
         for index in indices:
--- a/src/brasstray/pool/minion.py
+++ b/src/brasstray/pool/minion.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections import deque
+from collections import Counter, deque
 from datetime import timedelta
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -51,6 +51,7 @@
         self.reach = Reachability.UNPROBED
         self.health = MinionHealth()
         self.runs: dict[tuple[TaskName, RunNumber], RunRecord] = {}
+        self._run_counts: Counter[TaskName] = Counter()
         self._described = True
         self._cold_until = timedelta(0)
         self._stops_done_by = timedelta(0)
@@ -114,6 +115,10 @@
         """
         return self._unsized_count > 0
 
+    def has_run_of(self, name: TaskName) -> bool:
+        """Return whether a run of the task called `name` is here."""
+        return name in self._run_counts
+
     def has_task_of(self, step: StepTasks) -> bool:
         """Return whether a run of a wanted task of `step` is here."""
         return any(
@@ -130,6 +135,7 @@
     def add(self, record: RunRecord) -> None:
         """Count `record` against the capacity."""
         self.runs[record.name, record.run] = record
+        self._run_counts[record.name] += 1
         self._used = self._used + record.needs
         self._unsized_count += not record.size_known
 
@@ -177,6 +183,9 @@
         """
         if self.runs.pop((record.name, record.run), None) is None:
             return False
+        self._run_counts[record.name] -= 1
+        if not self._run_counts[record.name]:
+            del self._run_counts[record.name]
         self._used = self._used - record.needs
         self._unsized_count -= not record.size_known
         return True
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -355,8 +355,8 @@
         step, cause = error.step, error.__cause__
         self._events.step_failed(step.batch, step.step, cause, repr(cause))
         failed = tuple(step.tasks)
-        if step in self._tasks.steps:
-            self._drop(step, "error")
+        if self._tasks.has(step):
+            self._drop_all([step], "error")
         self._report_failed(step.requester, step.batch, step.step, failed)
         self.dispatch()
 
@@ -396,6 +396,7 @@
         runs = [
             (minion, record)
             for minion in self.minions
+            if minion.has_run_of(name)
             for record in minion.runs.values()
             if record.name == name
         ]
@@ -405,28 +406,33 @@
 
     def stop_tasks(self, requester: Requester, batch: BatchId) -> None:
         """Drop the waiting tasks of a job and stop its runs."""
-        for step in self._tasks.steps:
-            if step.batch == batch and step.requester is requester:
-                self._drop(step, "not_wanted")
-        self.dispatch()
+        self._drop_all(
+            [
+                step
+                for step in self._tasks.steps
+                if step.batch == batch and step.requester is requester
+            ],
+            "not_wanted",
+        )
 
     def drop_requester(self, requester: Requester) -> None:
         """Drop the tasks of a requester that has been silent for too long."""
-        for step in self._tasks.steps:
-            if step.requester is requester:
-                self._drop(step, "requester_silent")
+        steps = [s for s in self._tasks.steps if s.requester is requester]
+        self._drop_all(steps, "requester_silent")
+
+    def _drop_all(self, steps: list[StepTasks], reason: str) -> None:
+        """Drop `steps` and stop their runs, which are sought once for all of them."""
+        if steps and not self._deposed.is_set():
+            for step in steps:
+                self._tasks.drop(step, reason)
+            dropped = set(steps)
+            for session in self._roster.sessions:
+                for record in list(session.minion.runs.values()):
+                    if record.task and record.task.parent_step in dropped:
+                        record.abandon()
+                        session.stop(record)
         self.dispatch()
 
-    def _drop(self, step: StepTasks, reason: str) -> None:
-        if self._deposed.is_set():
-            return
-        self._tasks.drop(step, reason)
-        for session in self._roster.sessions:
-            for record in list(session.minion.runs.values()):
-                if record.task is not None and record.task.parent_step is step:
-                    record.abandon()
-                    session.stop(record)
-
     # Dispatch
 
     def load(self) -> PoolLoad:
--- a/src/brasstray/pool/task_registry.py
+++ b/src/brasstray/pool/task_registry.py
@@ -62,6 +62,10 @@
         step.forwarded |= message.forwarded
         return step
 
+    def has(self, step: StepTasks) -> bool:
+        """Return whether `step` has unfinished tasks that are still wanted."""
+        return self._steps.get((step.batch, step.step)) is step
+
     def find(self, name: TaskName) -> PoolTask | None:
         """Return the task called `name`, or None if it has ended or is not wanted."""
         step = self._steps.get((name.batch, name.step))
--- a/tests/platform/test_bodies.py
+++ b/tests/platform/test_bodies.py
@@ -125,3 +125,20 @@
     assert reply.active == (ActiveRun(TaskName(name, 0, 1), RunNumber(2), 41),)
     broken = EndedRun(58, TaskName(name, 0, 2), RunNumber(1), RunEnd.BROKEN)
     assert reply.ended == (broken,)
+
+
+# Guards against a job that takes the memory of a host: each task is an object of it.
+@pytest.mark.parametrize(
+    ("steps", "count"), [(1, 10_001), (2, 5_001), (20, 10_000), (100, 10_000)]
+)
+def test_a_job_of_too_many_tasks_is_rejected(steps, count):
+    body = {"Spec": "s", "Steps": [{"Count": count}] * steps, "BestEffort": True}
+    with pytest.raises(UnreadableJobError, match="10000"):
+        parse_job("a" * 16, json.dumps(body).encode())
+
+
+@pytest.mark.parametrize(("steps", "count"), [(1, 10_000), (10_000, 1), (100, 100)])
+def test_a_job_of_the_largest_size_is_accepted(steps, count):
+    body = {"Spec": "s", "Steps": [{"Count": count}] * steps, "BestEffort": True}
+    batch = parse_job("a" * 16, json.dumps(body).encode())
+    assert sum(step.count for step in batch.steps) == 10_000
