Keep the order of events of ordinary load, and the interface of sessions

Now the pause comes only while more is queued.

An existing test replaces MinionSession.start and saw no start, as that method had got one more parameter. Sessions tell their owner instead that a start has a response; the test is unchanged.

--- a/src/brasstray/peer/message_channel.py
+++ b/src/brasstray/peer/message_channel.py
@@ -135,7 +135,8 @@
                     return
                 for message in oversized:
                     self._on_oversized(message)
-                await anyio.lowlevel.checkpoint()
+                if self._queue:
+                    await anyio.lowlevel.checkpoint()
 
 
 __all__ = ["MessageChannel"]
--- a/src/brasstray/pool/dispatcher.py
+++ b/src/brasstray/pool/dispatcher.py
@@ -216,9 +216,10 @@
         minion.add(record)
         self._events.started(minion, record, now - step.arrived)
         self._starts_in_flight += 1
-        self._roster.session(entry.id).start(record, step.spec, self._settle_start)
+        self._roster.session(entry.id).start(record, step.spec)
 
-    def _settle_start(self) -> None:
+    def settle_start(self) -> None:
+        """Record that a start has a response, or has none in time."""
         self._starts_in_flight -= 1
         if self._starts_in_flight == MAX_STARTS_IN_FLIGHT // 2:
             self.wake()
--- a/src/brasstray/pool/minion_session.py
+++ b/src/brasstray/pool/minion_session.py
@@ -23,8 +23,6 @@
 from brasstray.pool.run_record import RunState
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from anyio.abc import TaskGroup
 
     from brasstray.batch.ids import FencingToken, RunNumber
@@ -432,14 +430,12 @@
             # The session's own probes meet the same error.
             return
 
-    def start(
-        self, record: RunRecord, spec: str, on_settled: Callable[[], None]
-    ) -> None:
+    def start(self, record: RunRecord, spec: str) -> None:
         """Send the start of `record`, which already counts against the capacity.
 
-        `on_settled` is called once it has a response, or has none in time.
+        The owner is told once it has a response, or has none in time.
         """
-        self._group.start_soon(self._start, record, spec, on_settled)
+        self._group.start_soon(self._start, record, spec)
 
     def stop(self, record: RunRecord) -> None:
         """Stop `record`, and repeat the stop until the run is known to have ended."""
@@ -453,12 +449,10 @@
         record.state = RunState.STOPPING
         self._group.start_soon(self._stop, record)
 
-    async def _start(
-        self, record: RunRecord, spec: str, on_settled: Callable[[], None]
-    ) -> None:
+    async def _start(self, record: RunRecord, spec: str) -> None:
         # After a replacement, the run was moved to the next session, which stops it.
         if self._replaced or not self._owner.may_act():
-            on_settled()
+            self._owner.settle_start()
             return
         sent = self._clock.monotonic()
         until = self._lease.next_lease_until(sent, self._lease_limit(record))
@@ -466,7 +460,7 @@
         self._forget_old_starts(sent)
         self._unanswered_starts[key] = sent
         try:
-            minion_clock_ms = await self._call_start(record, spec, until, on_settled)
+            minion_clock_ms = await self._call_start(record, spec, until)
         except StartRefusedError as error:
             self._unanswered_starts.pop(key, None)
             self._owner.handle_refusal(self._minion, record, error.refusal)
@@ -499,13 +493,7 @@
             if record.task is None and record.state is RunState.ACTIVE:
                 self.stop(record)
 
-    async def _call_start(
-        self,
-        record: RunRecord,
-        spec: str,
-        until_ms: int,
-        on_settled: Callable[[], None],
-    ) -> int:
+    async def _call_start(self, record: RunRecord, spec: str, until_ms: int) -> int:
         timeout = self._timing.call_timeout + self._lag.allowance
         try:
             return await self._calls.start(
@@ -518,7 +506,7 @@
                 timeout,
             )
         finally:
-            on_settled()
+            self._owner.settle_start()
 
     def _lease_limit(self, record: RunRecord) -> timedelta:
         """Return when the lease that the start of `record` requests must have expired.
--- a/src/brasstray/pool/owner.py
+++ b/src/brasstray/pool/owner.py
@@ -447,6 +447,10 @@
         """Schedule the start of waiting tasks where capacity is free."""
         self._dispatcher.wake()
 
+    def settle_start(self) -> None:
+        """Record that a start has a response, or has none in time."""
+        self._dispatcher.settle_start()
+
     async def wait_for_change(self) -> None:
         """Wait until the load may have changed since the last call."""
         await self._dispatcher.wait_for_change()
--- a/tests/pool/test_expired_steps.py
+++ b/tests/pool/test_expired_steps.py
@@ -62,8 +62,8 @@
     for _ in range(DRAWS):
         delay = ms(random.choice([random.randrange(700), random.randrange(810, 4_000)]))
 
-        def start_late(session, record, *args, delay=delay):
-            start(session, record, *args)
+        def start_late(session, record, spec, delay=delay):
+            start(session, record, spec)
             if record.run == 1:
                 trio.lowlevel.current_clock().jump(delay.total_seconds())
 
