Let an attempt to connect fail alone, whatever it raises

The errors of an attempt to open a link were listed one by one; any other ended the process, as an error of a close did. Found by reading, while the line was drawn around a connection.

--- a/src/brasstray/coordinator/coordinator.py
+++ b/src/brasstray/coordinator/coordinator.py
@@ -112,9 +112,8 @@
     def _least_time(self, batch: Batch) -> timedelta:
         """Return what the known owners together take at least to handle all tasks."""
         pools = {*self._pools.reachable(), *self._pools.connectable()}
-        return (
-            sum(step.count for step in batch.steps) * MIN_TASK_TIME / max(1, len(pools))
-        )
+        tasks = sum(step.count for step in batch.steps)
+        return tasks * MIN_TASK_TIME / max(1, len(pools))
 
     @contextmanager
     def _contain_errors(self, batch: BatchId) -> Iterator[None]:
--- a/src/brasstray/host/suspension_detector.py
+++ b/src/brasstray/host/suspension_detector.py
@@ -13,8 +13,6 @@
     from brasstray.host.timing import HostTiming
 
 _MILLISECOND = timedelta(milliseconds=1)
-
-
 # How long after a suspension requests may still be read that arrived during it.
 BACKLOG_TIME = timedelta(milliseconds=100)
 
--- a/src/brasstray/peer/websocket_stream.py
+++ b/src/brasstray/peer/websocket_stream.py
@@ -7,7 +7,7 @@
 import anyio
 from websockets.asyncio.client import connect
 from websockets.asyncio.server import ServerConnection, serve
-from websockets.exceptions import ConnectionClosed, InvalidHandshake
+from websockets.exceptions import ConnectionClosed
 
 from brasstray.peer.errors import UnreadableMessageError
 from brasstray.peer.message_stream import HostNotListeningError, StreamClosedError
@@ -77,13 +77,7 @@
             )
         except ConnectionRefusedError as error:
             raise HostNotListeningError(repr(error)) from error
-        except (
-            OSError,
-            InvalidHandshake,
-            EOFError,
-            ValueError,
-            OverflowError,
-        ) as error:
+        except Exception as error:  # noqa: BLE001 - any error of one connection
             raise StreamClosedError(repr(error)) from error
         return WebSocketStream(connection)
 
