Forget rejected jobs with each review

The set of jobs of which a review has rejected a step was cleared only where no order under shortage is asked for. With it, or in an evacuated pool, it would have grown with every rejection. Found by reading the change.

--- a/src/brasstray/pool/load_sharing.py
+++ b/src/brasstray/pool/load_sharing.py
@@ -69,6 +69,7 @@
         self._shares = CallerShares()
         self._plan = ShortagePlan(durations, self._shares)
         self._waits: tuple[timedelta, ...] = ()
+        # The jobs of which this review has rejected a step.
         self._rejected: set[BatchId] = set()
         self._cores = 0.0
         # Both are read once per review: a review may reject every waiting step.
@@ -104,6 +105,7 @@
         `waiting_steps` is in the order in which the steps will get capacity.
         """
         self._waits = ()
+        self._rejected.clear()
         if not waiting_steps:
             return
         self._measure_backlog()
@@ -143,7 +145,6 @@
         Runs that are expected to take long may end early, so only waiting work counts.
         """
         wait = timedelta(0)
-        self._rejected.clear()
         for step in waiting_steps:
             # Once one step of a job is rejected, its coordinator drops the others.
             if step.batch not in self._rejected:
@@ -276,6 +277,7 @@
         here they would wait until their deadline. If no other pool is reachable or
         about to be, they are rejected at once.
         """
+        self._rejected.clear()
         self._measure_backlog()
         loads = self._others.loads()
         for step in waiting_steps:
--- a/tests/pool/test_review_cost.py
+++ b/tests/pool/test_review_cost.py
@@ -12,9 +12,12 @@
 
 import anyio
 import pytest
+from msgspec.structs import replace
+from tests.pool.takeover import Requester, request, run_takeover
 from tests.pool.test_placement import NOW, minion, ms, step
 
 from brasstray.batch.ids import BatchId, PoolId
+from brasstray.peer.message.tasks_returned import TasksReturned
 from brasstray.pool.dispatcher import Dispatcher
 from brasstray.pool.durations import Durations
 from brasstray.pool.load_sharing import LoadSharing
@@ -176,3 +179,29 @@
     )
     assert set(gaps) <= {period, period + 1}
     assert gaps
+
+
+# Guards against a job of many steps whose rejection takes a message and a log line for
+# each of them, though the first one ends it.
+@pytest.mark.parametrize("steps", [2, 50, 500])
+def test_one_rejection_of_a_job_is_enough(steps):
+    async def scenario(pool):
+        owner, _ = pool.start_owner(1, pool.calls())
+        await pool.list_all_minions(owner)
+        await pool.clock.sleep(ms(150))
+        owner.run_tasks(Requester(), request(claimed=False, width=2))
+        await pool.clock.sleep(ms(5))
+        lost, other = Requester(), Requester()
+        for number in range(steps):
+            late = request(claimed=False, job=BatchId("b" * 16))
+            late = replace(late, step=number, useful_ms=100, limit_ms=100)
+            owner.run_tasks(lost, late)
+        late = request(claimed=False, job=BatchId("c" * 16))
+        owner.run_tasks(other, replace(late, useful_ms=100, limit_ms=100))
+        # One review, and less than the interval to the next.
+        await pool.clock.sleep(ms(1))
+        return lost.messages, other.messages
+
+    _, (lost, other) = run_takeover(scenario, 1)
+    assert [type(message) for message in lost] == [TasksReturned]
+    assert [type(message) for message in other] == [TasksReturned]
